--- /dev/null
+++ b/pkg/verd/verdict.go
@@ -0,0 +1,75 @@
+package verd
+
+import (
+	"errors"
+	"fmt"
+)
+
+//go:generate go tool stringer -type Verdict -linecomment
+
+// Verdict says whether a request may have run.
+type Verdict int
+
+// The verdicts. The zero value is the cautious one.
+const (
+	MayHaveRun Verdict = iota // may-have-run
+	NotRun                    // not-run
+	Ran                       // ran
+)
+
+// Header is the HTTP response header that carries the verdict.
+const Header = "Lovagelink-Verdict"
+
+// Parse returns the verdict that text names; an unknown text reads as MayHaveRun.
+func Parse(text string) Verdict {
+	for _, v := range []Verdict{NotRun, Ran} {
+		if v.String() == text {
+			return v
+		}
+	}
+	return MayHaveRun
+}
+
+// MarshalText writes the verdict by name.
+func (v Verdict) MarshalText() ([]byte, error) {
+	return []byte(v.String()), nil
+}
+
+// UnmarshalText reads a verdict by name.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	*v = Parse(string(text))
+	return nil
+}
+
+// Error is a failed request: its verdict, what went wrong, where, and what the caller can do.
+type Error struct {
+	Verdict Verdict `json:"verdict"`
+	Status  int     `json:"status"` // HTTP status code
+	Reason  string  `json:"reason"`
+	Place   string  `json:"place,omitempty"`
+	Remedy  string  `json:"remedy,omitempty"`
+}
+
+// Error joins the reason with its place and remedy.
+func (e *Error) Error() string {
+	text := e.Reason
+	if e.Place != "" {
+		text = fmt.Sprintf("%s: %s", e.Place, text)
+	}
+	if e.Remedy != "" {
+		text = fmt.Sprintf("%s; %s", text, e.Remedy)
+	}
+	return text
+}
+
+// Of returns the verdict that err carries: Ran for nil, MayHaveRun for an error without one.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/pkg/walog/file.go
@@ -0,0 +1,48 @@
+package walog
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// WriteFile writes a file so that after a crash either the old or the new content is there.
+func WriteFile(path string, data []byte) error {
+	temp := path + tempSuffix
+	if err := writeSynced(temp, data); err != nil {
+		return fmt.Errorf("write %s: %w", temp, err)
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return fmt.Errorf("replace %s: %w", path, err)
+	}
+	return SyncDir(filepath.Dir(path))
+}
+
+// SyncDir makes the names in a folder durable.
+func SyncDir(dir string) error {
+	file, err := os.Open(dir)
+	if err != nil {
+		return fmt.Errorf("sync folder: %w", err)
+	}
+	defer file.Close()
+	if err := file.Sync(); err != nil {
+		return fmt.Errorf("sync folder %s: %w", dir, err)
+	}
+	return nil
+}
+
+func writeSynced(path string, data []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := file.Write(data); err != nil {
+		file.Close()
+		return err
+	}
+	if err := file.Sync(); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
