--- /dev/null
+++ b/pkg/place/doc.go
@@ -0,0 +1,2 @@
+// Package place maps keys to slots and spreads slots over upstreams.
+package place
