--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,58 @@
+package conf
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"gauteng", "kingston"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile("../../examples/" + name + ".yaml")
+			is.NoErr(err)
+			config, err := ParseConfig(data)
+			is.NoErr(err)
+			is.Equal(len(config.Ranks), 3)
+			is.Equal(config.Services[1].WhenCut, Stay)
+			is.Equal(config.Route("/nowhere"), nil)
+		})
+	}
+}
+
+// Each fault is named with its place.
+func TestFaultsNameTheirPlace(t *testing.T) {
+	data, err := os.ReadFile("../../examples/gauteng.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, fault := range []struct{ old, new, want string }{
+		{"route: /commission/", "route: /plan/x/", "services[1] commission: route"},
+		{"rank: layout,", "rank: view,", "rules[0]: rank \"view\""},
+		{"slots: 64", "slotz: 64", "slotz"},
+		{"floor: 0.5", "floor: 0.9", "floors add up"},
+		{"when-cut: stay", "when-cut: go", "neither move nor stay"},
+		{"key: {segment: 2}", "key: {segment: 2, header: x}", "either a segment or a header"},
+		{"worth: 20", "worth: -1", "Worth"},
+	} {
+		t.Run(fault.old, func(t *testing.T) {
+			is := is.New(t)
+			_, err := ParseConfig([]byte(strings.Replace(string(data), fault.old, fault.new, 1)))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), fault.want)) // place is named
+		})
+	}
+}
+
+func TestHostCheck(t *testing.T) {
+	is := is.New(t)
+	host := Host{Name: "a1", Zone: "a", Hosts: []Peer{{Name: "a1", Zone: "a", Replica: true}}}
+	is.True(strings.Contains(host.Check().Error(), "data-folder"))
+	host.DataFolder = "x"
+	is.NoErr(host.Check())
+	host.Zone = "b"
+	is.True(strings.Contains(host.Check().Error(), "zone"))
+}
--- /dev/null
+++ b/internal/conf/config.go
@@ -0,0 +1,221 @@
+package conf
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+//go:generate go tool stringer -type WhenCut -linecomment
+
+// WhenCut says what becomes of a service's slots in a zone that is cut off from the majority.
+type WhenCut int
+
+// The choices for a zone that is cut off.
+const (
+	Move WhenCut = iota // move
+	Stay                // stay
+)
+
+// UnmarshalText reads the choice by name.
+func (w *WhenCut) UnmarshalText(text []byte) error {
+	for _, choice := range []WhenCut{Move, Stay} {
+		if choice.String() == string(text) {
+			*w = choice
+			return nil
+		}
+	}
+	return fmt.Errorf("when-cut: %q is neither move nor stay", text)
+}
+
+// MarshalText writes the choice by name.
+func (w WhenCut) MarshalText() ([]byte, error) {
+	return []byte(w.String()), nil
+}
+
+// Limits of a configuration.
+const (
+	DefaultSlots     = 256
+	DefaultBodyLimit = 1 << 20 // bytes
+	maxSlots         = 65536
+)
+
+// Config is what operators accept: the ranks of work and the services.
+type Config struct {
+	Ranks    []Rank    `yaml:"ranks" validate:"required,min=1,dive"`
+	Services []Service `yaml:"services" validate:"required,min=1,dive"`
+}
+
+// Rank is one rank of work; the list of ranks starts with the most urgent.
+type Rank struct {
+	Name   string        `yaml:"name" validate:"required"`
+	Target time.Duration `yaml:"target" validate:"required,gt=0"`
+	Worth  float64       `yaml:"worth" validate:"gt=0"`
+	Floor  float64       `yaml:"floor,omitempty" validate:"gte=0,lt=1"`
+}
+
+// Service is one service with its route and rules.
+type Service struct {
+	Name      string  `yaml:"name" validate:"required"`
+	Route     string  `yaml:"route" validate:"required,startswith=/,endswith=/"`
+	Key       *Key    `yaml:"key,omitempty"`
+	Slots     int     `yaml:"slots,omitempty" validate:"gte=0"`
+	WhenCut   WhenCut `yaml:"when-cut,omitempty"`
+	BodyLimit int64   `yaml:"body-limit,omitempty" validate:"gte=0"`
+	Rules     []Rule  `yaml:"rules" validate:"required,min=1,dive"`
+}
+
+// Key says where a request carries its key: a path segment counted from 1, or a header.
+type Key struct {
+	Segment int    `yaml:"segment,omitempty" validate:"gte=0"`
+	Header  string `yaml:"header,omitempty"`
+}
+
+// Rule gives the requests of some methods their rank.
+type Rule struct {
+	Methods    []string      `yaml:"methods" validate:"required,min=1"`
+	Rank       string        `yaml:"rank" validate:"required"`
+	Idempotent bool          `yaml:"idempotent,omitempty"`
+	Deadline   time.Duration `yaml:"deadline" validate:"required,gt=0"`
+}
+
+// ParseConfig reads a configuration, fills in defaults and checks it.
+func ParseConfig(data []byte) (Config, error) {
+	var config Config
+	if err := decode(data, &config); err != nil {
+		return Config{}, err
+	}
+	for i := range config.Services {
+		config.Services[i].fill()
+	}
+	return config, config.check()
+}
+
+func (s *Service) fill() {
+	if s.Slots == 0 {
+		s.Slots = DefaultSlots
+	}
+	if s.BodyLimit == 0 {
+		s.BodyLimit = DefaultBodyLimit
+	}
+}
+
+func (c Config) check() error {
+	if err := c.checkRanks(); err != nil {
+		return err
+	}
+	names := make(map[string]bool)
+	for i, service := range c.Services {
+		place := fmt.Sprintf("services[%d] %s", i, service.Name)
+		if names[service.Name] {
+			return fmt.Errorf("%s: the name stands twice; give each service its own", place)
+		}
+		names[service.Name] = true
+		if err := c.checkService(place, service); err != nil {
+			return err
+		}
+		if other := c.overlap(i); other != "" {
+			return fmt.Errorf("%s: route %s overlaps that of %s; give each service its own", place, service.Route, other)
+		}
+	}
+	return nil
+}
+
+func (c Config) checkRanks() error {
+	names := make(map[string]bool)
+	floors := 0.0
+	for i, rank := range c.Ranks {
+		if names[rank.Name] {
+			return fmt.Errorf("ranks[%d]: %q stands twice; give each rank its own name", i, rank.Name)
+		}
+		names[rank.Name] = true
+		floors += rank.Floor
+	}
+	if floors > 1 {
+		return fmt.Errorf("ranks: the floors add up to %.2f; keep them at 1 or below", floors)
+	}
+	return nil
+}
+
+func (c Config) checkService(place string, service Service) error {
+	if service.Slots > maxSlots {
+		return fmt.Errorf("%s: %d slots; the most is %d", place, service.Slots, maxSlots)
+	}
+	if key := service.Key; key != nil && (key.Segment == 0) == (key.Header == "") {
+		return fmt.Errorf("%s: key: name either a segment or a header", place)
+	}
+	methods := make(map[string]bool)
+	for j, rule := range service.Rules {
+		if c.RankOf(rule.Rank) < 0 {
+			return fmt.Errorf("%s: rules[%d]: rank %q is not in ranks; add it there or correct the name", place, j, rule.Rank)
+		}
+		for _, method := range rule.Methods {
+			if methods[method] {
+				return fmt.Errorf("%s: rules[%d]: method %s stands in two rules; keep one", place, j, method)
+			}
+			methods[method] = true
+		}
+	}
+	return nil
+}
+
+// overlap returns an earlier service whose route starts or extends that of service i.
+func (c Config) overlap(i int) string {
+	route := c.Services[i].Route
+	for _, other := range c.Services[:i] {
+		if strings.HasPrefix(route, other.Route) || strings.HasPrefix(other.Route, route) {
+			return other.Name
+		}
+	}
+	return ""
+}
+
+// RankOf returns the position of a rank by name, or -1.
+func (c Config) RankOf(name string) int {
+	return slices.IndexFunc(c.Ranks, func(rank Rank) bool { return rank.Name == name })
+}
+
+// Floors returns the floors of the ranks in order.
+func (c Config) Floors() []float64 {
+	var floors []float64
+	for _, rank := range c.Ranks {
+		floors = append(floors, rank.Floor)
+	}
+	return floors
+}
+
+// ServiceNamed returns the service of this name, or nil.
+func (c Config) ServiceNamed(name string) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// Route returns the service whose route the path starts with, or nil.
+func (c Config) Route(path string) *Service {
+	for i := range c.Services {
+		if strings.HasPrefix(path, c.Services[i].Route) {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// RuleFor returns the rule for a method, or nil.
+func (s *Service) RuleFor(method string) *Rule {
+	for i := range s.Rules {
+		if slices.Contains(s.Rules[i].Methods, method) {
+			return &s.Rules[i]
+		}
+	}
+	return nil
+}
+
+// HasExclusive reports whether any work of the service must not repeat.
+func (s *Service) HasExclusive() bool {
+	return slices.ContainsFunc(s.Rules, func(rule Rule) bool { return !rule.Idempotent })
+}
--- /dev/null
+++ b/internal/ctrl/client.go
@@ -0,0 +1,255 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
+)
+
+// ErrNoLeader reports that no leader could be reached in time.
+var ErrNoLeader = errors.New("no leader of the control log is reachable")
+
+var errStale = errors.New("source has nothing newer")
+
+// Reporter tells what the next heartbeat should say.
+type Reporter interface {
+	Report(now time.Time, withLoads bool) Beat
+}
+
+// Client keeps one entry host in touch with the control plane.
+type Client struct {
+	name     string
+	hub      *peer.Hub
+	feed     *state.Feed
+	replicas []string // own zone first
+	hasOwn   bool     // a replica on this host drives the feed
+	reporter Reporter
+	nudge    chan struct{}
+	tomb     tomb.Tomb
+
+	mu     sync.Mutex
+	leader string
+	until  time.Time // end of the host's lease
+	loaded time.Time // when loads were last reported
+	newest uint64    // the highest index that a leader has told of
+}
+
+// NewClient returns a client; replicas lists the hosts of the log, the nearest first.
+func NewClient(name string, hub *peer.Hub, feed *state.Feed, replicas []string, reporter Reporter) *Client {
+	c := &Client{
+		name: name, hub: hub, feed: feed, replicas: replicas, reporter: reporter,
+		hasOwn: slices.Contains(replicas, name),
+		nudge:  make(chan struct{}, 1),
+	}
+	peer.On(hub, "watch", c.handleWatch)
+	return c
+}
+
+// Start begins to send heartbeats and to follow the state.
+func (c *Client) Start() {
+	c.tomb.Go(c.beatLoop)
+	if !c.hasOwn {
+		c.tomb.Go(c.watchLoop)
+	}
+}
+
+// Stop ends both.
+func (c *Client) Stop() {
+	c.tomb.Kill(nil)
+	_ = c.tomb.Wait()
+}
+
+// LeaseUntil returns until when this host may act as a dispatcher.
+func (c *Client) LeaseUntil() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.until
+}
+
+// Leader returns the host that last answered as the leader.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// Nudge sends the next heartbeat at once.
+func (c *Client) Nudge() {
+	select {
+	case c.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Propose puts a command into the log by way of the leader, trying until ctx ends.
+func (c *Client) Propose(ctx context.Context, command state.Command) (ProposalReply, error) {
+	return askLeader(ctx, c, "propose", Proposal{Command: command},
+		func(r ProposalReply) (bool, string) { return r.OK, r.Leader })
+}
+
+// ReportLost tells the leader of a silent upstream.
+func (c *Client) ReportLost(ctx context.Context, report LostReport) error {
+	_, err := askLeader(ctx, c, "lost", report,
+		func(r ProposalReply) (bool, string) { return r.OK, r.Leader })
+	return err
+}
+
+// ReportReleased tells the leader of slots that can be handed over.
+func (c *Client) ReportReleased(ctx context.Context, released []Released) error {
+	_, err := askLeader(ctx, c, "released", released,
+		func(r ProposalReply) (bool, string) { return r.OK, r.Leader })
+	return err
+}
+
+// Progress asks the leader which index each host has reached.
+func (c *Client) Progress(ctx context.Context) (Progress, error) {
+	return askLeader(ctx, c, "progress", struct{}{},
+		func(p Progress) (bool, string) { return p.Hosts != nil, p.Leader })
+}
+
+// askLeader calls one replica after the other until the leader has answered.
+func askLeader[R any](ctx context.Context, c *Client, method string, args any, read func(R) (bool, string)) (R, error) {
+	target := c.Leader()
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if target == "" {
+			target = c.replicas[turn%len(c.replicas)]
+		}
+		reply, err := callWithin[R](ctx, c, target, method, args)
+		if err == nil {
+			ok, leader := read(reply)
+			if ok {
+				return reply, nil
+			}
+			target = leader
+		} else {
+			target = ""
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+	var none R
+	return none, ErrNoLeader
+}
+
+func callWithin[R any](ctx context.Context, c *Client, host, method string, args any) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return peer.Call[R](ctx, c.hub, host, method, args)
+}
+
+// beatLoop sends a heartbeat in each period and follows the leader from replica to replica.
+func (c *Client) beatLoop() error {
+	ctx := c.tomb.Context(context.Background())
+	for turn := 0; c.tomb.Alive(); turn++ {
+		target := c.Leader()
+		if target == "" {
+			target = c.replicas[turn%len(c.replicas)]
+		}
+		if c.beat(ctx, target) {
+			c.rest(beatPeriod)
+		} else {
+			c.rest(beatPeriod / 4)
+		}
+	}
+	return nil
+}
+
+// beat sends one heartbeat. The lease counts from before it was sent, with a tenth held back for
+// clocks that run at different speeds.
+func (c *Client) beat(ctx context.Context, target string) bool {
+	sent := time.Now()
+	reply, err := callWithin[BeatReply](ctx, c, target, "beat", c.report(sent))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.leader = ""
+		return false
+	}
+	c.leader = reply.Leader
+	c.newest = max(c.newest, reply.Index)
+	if reply.Granted {
+		c.until = sent.Add(HostLease - HostLease/10)
+	}
+	return reply.Leader == target
+}
+
+func (c *Client) report(now time.Time) Beat {
+	c.mu.Lock()
+	withLoads := now.Sub(c.loaded) >= loadPeriod
+	if withLoads {
+		c.loaded = now
+	}
+	c.mu.Unlock()
+	beat := c.reporter.Report(now, withLoads)
+	beat.Index = c.feed.Index()
+	return beat
+}
+
+func (c *Client) rest(period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.nudge:
+	case <-c.tomb.Dying():
+	}
+}
+
+// watchLoop follows the feed of one replica after the other.
+func (c *Client) watchLoop() error {
+	ctx := c.tomb.Context(context.Background())
+	for turn := 0; c.tomb.Alive(); turn++ {
+		source := c.replicas[turn%len(c.replicas)]
+		for c.tomb.Alive() && c.watch(ctx, source) == nil {
+			continue
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+	return nil
+}
+
+func (c *Client) watch(ctx context.Context, source string) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
+	defer cancel()
+	batch, err := peer.Call[state.Batch](ctx, c.hub, source, "watch", WatchArgs{Index: c.feed.Index()})
+	if err != nil {
+		return err
+	}
+	if err := c.feed.Follow(batch); err != nil {
+		return err
+	}
+	if len(batch.Entries) == 0 && batch.Snapshot == nil && c.isBehind() {
+		return errStale
+	}
+	return nil
+}
+
+// isBehind reports whether a leader knows more than this host, so that its source must be cut off.
+func (c *Client) isBehind() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.feed.Index() < c.newest
+}
+
+// handleWatch answers with what follows an index, or waits a while for something to follow.
+func (c *Client) handleWatch(ctx context.Context, _ string, args WatchArgs) (state.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	_ = c.feed.Await(ctx, args.Index+1)
+	return c.feed.Since(args.Index)
+}
+
+func pause(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/ctrl/leader.go
@@ -0,0 +1,248 @@
+package ctrl
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/paxos"
+)
+
+// reachPeriod is how long a dispatcher's word that it reaches an upstream holds.
+const reachPeriod = time.Second
+
+// Leader carries out the duties of the leading replica: leases of hosts, dispatchers of upstreams,
+// owners of slots. On a replica that does not lead it only points to the one that does.
+type Leader struct {
+	name    string
+	zone    string
+	replica *paxos.Replica
+	feed    *state.Feed
+	tomb    tomb.Tomb
+
+	mu       sync.Mutex
+	ballot   paxos.Ballot
+	leases   *leases
+	hosts    map[string]hostReport
+	joining  map[string]state.Announced
+	reached  map[string]time.Time
+	draining map[string]bool
+	idle     map[string]bool
+	loads    *loads
+	planned  time.Time // when slots were last balanced
+}
+
+// hostReport is what the newest heartbeat of a host said.
+type hostReport struct {
+	zone        string
+	incarnation string
+	index       uint64
+	leaving     bool
+}
+
+// NewLeader opens the replica of this host and answers for it on the hub.
+func NewLeader(now time.Time, setup paxos.Setup, zone string, hub *peer.Hub, feed *state.Feed) (*Leader, error) {
+	replica, err := paxos.New(now, setup, transport{hub}, feed)
+	if err != nil {
+		return nil, err
+	}
+	l := &Leader{name: setup.Name, zone: zone, replica: replica, feed: feed}
+	l.reset(now)
+	serveReplica(hub, replica)
+	peer.On(hub, "beat", l.handleBeat)
+	peer.On(hub, "propose", l.handlePropose)
+	peer.On(hub, "lost", l.handleLost)
+	peer.On(hub, "released", l.handleReleased)
+	peer.On(hub, "progress", l.handleProgress)
+	return l, nil
+}
+
+// Start begins to vote and, while leading, to carry out the duties.
+func (l *Leader) Start() {
+	l.replica.Start()
+	l.tomb.Go(l.run)
+}
+
+// Stop ends the duties and closes the replica.
+func (l *Leader) Stop() {
+	l.tomb.Kill(nil)
+	_ = l.tomb.Wait()
+	_ = l.replica.Stop()
+}
+
+// Status returns what the replica knows of the log.
+func (l *Leader) Status(now time.Time) paxos.Status {
+	return l.replica.Status(now)
+}
+
+// Dead closes when the replica has ended, by Stop or by a failed disk.
+func (l *Leader) Dead() <-chan struct{} {
+	return l.replica.Dead()
+}
+
+// Err returns why the replica has ended.
+func (l *Leader) Err() error {
+	return l.replica.Err()
+}
+
+// reset forgets what heartbeats have told; the lock is held or not needed yet.
+func (l *Leader) reset(now time.Time) {
+	incarnations := make(map[string]string)
+	l.feed.Read(func(s *state.State) {
+		for name, host := range s.Hosts {
+			if host.Up {
+				incarnations[name] = host.Incarnation
+			}
+		}
+	})
+	l.leases = newLeases(now, incarnations)
+	l.hosts = make(map[string]hostReport)
+	l.joining = make(map[string]state.Announced)
+	l.reached = make(map[string]time.Time)
+	l.draining = make(map[string]bool)
+	l.idle = make(map[string]bool)
+	l.loads = newLoads()
+	l.planned = now
+}
+
+// leading reports whether this replica holds the leader's lease, and begins a new leadership
+// with the leases of the one before.
+func (l *Leader) leading(now time.Time) (paxos.Status, bool) {
+	status := l.replica.Status(now)
+	if !status.Leading {
+		return status, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ballot != status.Ballot {
+		l.ballot = status.Ballot
+		l.reset(now)
+	}
+	return status, true
+}
+
+func (l *Leader) run() error {
+	ticker := time.NewTicker(stepPeriod)
+	defer ticker.Stop()
+	for {
+		changed := l.feed.Changed()
+		select {
+		case <-l.tomb.Dying():
+			return nil
+		case <-ticker.C:
+		case <-changed:
+		}
+		now := time.Now()
+		if _, ok := l.leading(now); !ok {
+			continue
+		}
+		for _, command := range l.plan(now) {
+			if _, _, err := l.propose(command); err != nil {
+				break
+			}
+		}
+	}
+}
+
+func (l *Leader) propose(command state.Command) ([]byte, uint64, error) {
+	data, err := json.Marshal(command)
+	if err != nil {
+		return nil, 0, err
+	}
+	ctx, cancel := context.WithTimeout(l.tomb.Context(context.Background()), watchTimeout)
+	defer cancel()
+	return l.replica.Propose(ctx, data)
+}
+
+func (l *Leader) handleBeat(_ context.Context, from string, beat Beat) (BeatReply, error) {
+	now := time.Now()
+	status, ok := l.leading(now)
+	if !ok {
+		return BeatReply{Leader: status.Leader, Index: l.feed.Index()}, nil
+	}
+	isUp := false
+	l.feed.Read(func(s *state.State) {
+		host := s.Hosts[from]
+		isUp = host != nil && host.Up && host.Incarnation == beat.Incarnation
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.note(now, from, beat)
+	granted := isUp && l.leases.renew(now, from, beat.Incarnation)
+	return BeatReply{Granted: granted, Leader: l.name, Index: l.feed.Index()}, nil
+}
+
+// note takes in what a heartbeat says.
+func (l *Leader) note(now time.Time, from string, beat Beat) {
+	l.hosts[from] = hostReport{
+		zone: beat.Zone, incarnation: beat.Incarnation, index: beat.Index, leaving: beat.Leaving,
+	}
+	for _, announced := range beat.Announced {
+		l.joining[announced.ID] = announced
+	}
+	for _, id := range beat.Reached {
+		l.reached[id] = now
+	}
+	for _, id := range beat.Draining {
+		l.draining[id] = true
+	}
+	for _, id := range beat.Idle {
+		l.idle[id] = true
+	}
+	l.loads.add(beat.Loads)
+}
+
+func (l *Leader) handlePropose(_ context.Context, _ string, args Proposal) (ProposalReply, error) {
+	status, ok := l.leading(time.Now())
+	if !ok {
+		return ProposalReply{Leader: status.Leader}, nil
+	}
+	answer, index, err := l.propose(args.Command)
+	if err != nil {
+		return ProposalReply{}, err
+	}
+	return ProposalReply{OK: true, Index: index, Answer: answer}, nil
+}
+
+func (l *Leader) handleLost(_ context.Context, _ string, report LostReport) (ProposalReply, error) {
+	now := time.Now()
+	status, ok := l.leading(now)
+	if !ok {
+		return ProposalReply{Leader: status.Leader}, nil
+	}
+	_, index, err := l.propose(state.Command{Lose: &state.Lose{
+		Upstream: report.Upstream,
+		Epoch:    report.Epoch,
+		Assign:   l.heirs(now, report.Upstream),
+	}})
+	return ProposalReply{OK: err == nil, Index: index}, err
+}
+
+func (l *Leader) handleReleased(_ context.Context, _ string, released []Released) (ProposalReply, error) {
+	now := time.Now()
+	status, ok := l.leading(now)
+	if !ok {
+		return ProposalReply{Leader: status.Leader}, nil
+	}
+	_, index, err := l.propose(state.Command{Assign: l.handOver(now, released)})
+	return ProposalReply{OK: err == nil, Index: index}, err
+}
+
+func (l *Leader) handleProgress(context.Context, string, struct{}) (Progress, error) {
+	status, ok := l.leading(time.Now())
+	if !ok {
+		return Progress{Leader: status.Leader}, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hosts := make(map[string]uint64, len(l.hosts))
+	for name, report := range l.hosts {
+		hosts[name] = report.index
+	}
+	return Progress{Leader: l.name, Hosts: hosts}, nil
+}
--- /dev/null
+++ b/internal/ctrl/plan.go
@@ -0,0 +1,299 @@
+package ctrl
+
+import (
+	"slices"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/place"
+)
+
+// Balancing of slots.
+const (
+	balancePeriod = 5 * time.Second
+	balanceSlack  = 0.25 // of the mean load
+	balanceBudget = 8    // moves in each period and service
+)
+
+// plan returns the changes that are due.
+func (l *Leader) plan(now time.Time) []state.Command {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var commands []state.Command
+	l.feed.Read(func(s *state.State) {
+		commands = append(commands, l.planHosts(now, s)...)
+		commands = append(commands, l.planJoins(s)...)
+		commands = append(commands, l.planDrains(s)...)
+		if dispatch := l.planDispatch(s); len(dispatch) > 0 {
+			commands = append(commands, state.Command{Dispatch: dispatch})
+		}
+		if assigns := l.planFill(now, s); len(assigns) > 0 {
+			commands = append(commands, state.Command{Assign: assigns})
+		}
+		if moves := l.planMoves(now, s); len(moves) > 0 {
+			commands = append(commands, state.Command{Move: moves})
+		}
+	})
+	return commands
+}
+
+// planHosts marks hosts up that send heartbeats and hosts down whose lease has ended.
+func (l *Leader) planHosts(now time.Time, s *state.State) []state.Command {
+	var commands []state.Command
+	for _, name := range sortedKeys(l.hosts) {
+		report := l.hosts[name]
+		known := s.Hosts[name]
+		if known != nil && known.Up && known.Incarnation == report.incarnation {
+			continue
+		}
+		l.leases.forget(name)
+		commands = append(commands, state.Command{Host: &state.HostMark{
+			Name: name, Zone: report.zone, Incarnation: report.incarnation, Up: true,
+		}})
+	}
+	for _, name := range sortedKeys(s.Hosts) {
+		host := s.Hosts[name]
+		if !host.Up || !l.leases.condemn(now, name, host.Incarnation) {
+			continue
+		}
+		if report, ok := l.hosts[name]; ok && report.incarnation != host.Incarnation {
+			continue
+		}
+		delete(l.hosts, name)
+		commands = append(commands, state.Command{Host: &state.HostMark{
+			Name: name, Zone: host.Zone, Incarnation: host.Incarnation,
+		}})
+	}
+	return commands
+}
+
+// planJoins adds upstreams that have announced themselves.
+func (l *Leader) planJoins(s *state.State) []state.Command {
+	var commands []state.Command
+	for _, id := range sortedKeys(l.joining) {
+		announced := l.joining[id]
+		delete(l.joining, id)
+		known := s.Upstreams[id]
+		if known != nil && known.Phase != state.Lost {
+			continue
+		}
+		commands = append(commands, state.Command{Join: &state.Join{Upstream: announced}})
+	}
+	return commands
+}
+
+// planDrains begins and ends the leaving of upstreams.
+func (l *Leader) planDrains(s *state.State) []state.Command {
+	var commands []state.Command
+	for _, id := range sortedKeys(s.Upstreams) {
+		u := s.Upstreams[id]
+		isIdle := l.idle[id]
+		delete(l.idle, id)
+		switch {
+		case u.Phase == state.Serving && l.draining[id]:
+			commands = append(commands, state.Command{Drain: &state.Drain{Upstream: id}})
+		case u.Phase == state.Draining && isIdle:
+			commands = append(commands, state.Command{Leave: &state.Leave{Upstream: id}})
+		}
+		delete(l.draining, id)
+	}
+	return commands
+}
+
+// planDispatch gives each upstream without a living dispatcher to the least burdened host, one of
+// its own zone where there is one.
+func (l *Leader) planDispatch(s *state.State) []state.Dispatch {
+	burden := make(map[string]int)
+	for _, u := range s.Upstreams {
+		if hasDispatcher(s, u) {
+			burden[u.Host]++
+		}
+	}
+	var changes []state.Dispatch
+	for _, id := range sortedKeys(s.Upstreams) {
+		u := s.Upstreams[id]
+		if u.Phase == state.Lost || hasDispatcher(s, u) && !l.hosts[u.Host].leaving {
+			continue
+		}
+		host := l.pickHost(s, u, burden)
+		if host == "" || host == u.Host {
+			continue
+		}
+		burden[host]++
+		changes = append(changes, state.Dispatch{
+			Upstream: id, Epoch: u.Epoch, Host: host, Incarnation: s.Hosts[host].Incarnation,
+		})
+	}
+	return changes
+}
+
+func (l *Leader) pickHost(s *state.State, u *state.Upstream, burden map[string]int) string {
+	best := ""
+	for _, name := range sortedKeys(s.Hosts) {
+		host := s.Hosts[name]
+		if !host.Up || l.hosts[name].leaving {
+			continue
+		}
+		if best == "" || isCloser(s, u, burden, name, best) {
+			best = name
+		}
+	}
+	return best
+}
+
+func isCloser(s *state.State, u *state.Upstream, burden map[string]int, a, b string) bool {
+	isNearA, isNearB := s.Hosts[a].Zone == u.Zone, s.Hosts[b].Zone == u.Zone
+	if isNearA != isNearB {
+		return isNearA
+	}
+	return burden[a] < burden[b]
+}
+
+func hasDispatcher(s *state.State, u *state.Upstream) bool {
+	host := s.Hosts[u.Host]
+	return host != nil && host.Up && host.Incarnation == u.HostIncarnation
+}
+
+// candidates lists the upstreams of a service that can be given slots now.
+func (l *Leader) candidates(now time.Time, s *state.State, service string) []string {
+	var ids []string
+	for _, id := range sortedKeys(s.Upstreams) {
+		u := s.Upstreams[id]
+		isReached := now.Sub(l.reached[id]) < reachPeriod
+		if s.CanOwn(id, service) && hasDispatcher(s, u) && isReached && !l.draining[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// planFill gives slots without an owner to upstreams.
+func (l *Leader) planFill(now time.Time, s *state.State) []state.Assign {
+	var assigns []state.Assign
+	for _, name := range sortedKeys(s.Tables) {
+		table := s.Tables[name]
+		for _, move := range place.Fill(ownersOf(table), l.loads.of(name, len(table.Slots)), l.candidates(now, s, name)) {
+			assigns = append(assigns, state.Assign{
+				Service: name, Slot: move.Slot, Epoch: table.Slots[move.Slot].Epoch, Owner: move.To,
+			})
+		}
+	}
+	return assigns
+}
+
+// heirs spreads the slots of a lost upstream over the others.
+func (l *Leader) heirs(now time.Time, lost string) []state.Assign {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var assigns []state.Assign
+	l.feed.Read(func(s *state.State) {
+		u := s.Upstreams[lost]
+		if u == nil || s.Tables[u.Service] == nil {
+			return
+		}
+		table := s.Tables[u.Service]
+		owners := ownersOf(table)
+		for i, owner := range owners {
+			if owner == lost {
+				owners[i] = ""
+			}
+		}
+		others := slices.DeleteFunc(l.candidates(now, s, u.Service), func(id string) bool { return id == lost })
+		for _, move := range place.Fill(owners, l.loads.of(u.Service, len(owners)), others) {
+			if table.Slots[move.Slot].Owner == lost {
+				assigns = append(assigns, state.Assign{Service: u.Service, Slot: move.Slot, Owner: move.To})
+			}
+		}
+	})
+	return assigns
+}
+
+// handOver turns releases into assignments to the owners that the moves lead to.
+func (l *Leader) handOver(now time.Time, released []Released) []state.Assign {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var assigns []state.Assign
+	l.feed.Read(func(s *state.State) {
+		for _, one := range released {
+			table := s.Tables[one.Service]
+			if table == nil || one.Slot < 0 || one.Slot >= len(table.Slots) || table.Slots[one.Slot].Epoch != one.Epoch {
+				continue
+			}
+			owner := table.Slots[one.Slot].Next
+			if candidates := l.candidates(now, s, one.Service); !slices.Contains(candidates, owner) {
+				owner = place.Best(one.Service, candidates)
+			}
+			assigns = append(assigns, state.Assign{Service: one.Service, Slot: one.Slot, Epoch: one.Epoch, Owner: owner})
+		}
+	})
+	return assigns
+}
+
+// planMoves empties draining upstreams at once and balances the rest now and then.
+func (l *Leader) planMoves(now time.Time, s *state.State) []state.Move {
+	var moves []state.Move
+	isDue := now.Sub(l.planned) >= balancePeriod
+	if isDue {
+		l.planned = now
+		defer l.loads.decay()
+	}
+	for _, name := range sortedKeys(s.Tables) {
+		table := s.Tables[name]
+		candidates := l.candidates(now, s, name)
+		moves = append(moves, l.drainMoves(s, name, candidates)...)
+		if isDue && !isMoving(table) {
+			moves = append(moves, l.balanceMoves(name, table, candidates)...)
+		}
+	}
+	return moves
+}
+
+func (l *Leader) drainMoves(s *state.State, service string, candidates []string) []state.Move {
+	table := s.Tables[service]
+	owners := ownersOf(table)
+	for i, owner := range owners {
+		if u := s.Upstreams[owner]; u != nil && u.Phase == state.Draining {
+			owners[i] = ""
+		}
+	}
+	var moves []state.Move
+	for _, move := range place.Fill(owners, l.loads.of(service, len(owners)), candidates) {
+		slot := table.Slots[move.Slot]
+		if slot.Owner != "" && slot.Next == "" {
+			moves = append(moves, state.Move{Service: service, Slot: move.Slot, Epoch: slot.Epoch, To: move.To})
+		}
+	}
+	return moves
+}
+
+func (l *Leader) balanceMoves(service string, table *state.Table, candidates []string) []state.Move {
+	planner := place.Planner{Slack: balanceSlack, Budget: balanceBudget}
+	var moves []state.Move
+	for _, move := range planner.Balance(ownersOf(table), l.loads.of(service, len(table.Slots)), candidates) {
+		moves = append(moves, state.Move{
+			Service: service, Slot: move.Slot, Epoch: table.Slots[move.Slot].Epoch, To: move.To,
+		})
+	}
+	return moves
+}
+
+func isMoving(table *state.Table) bool {
+	return slices.ContainsFunc(table.Slots, func(slot state.Slot) bool { return slot.Next != "" || slot.Owner == "" })
+}
+
+func ownersOf(table *state.Table) []string {
+	owners := make([]string, len(table.Slots))
+	for i, slot := range table.Slots {
+		owners[i] = slot.Owner
+	}
+	return owners
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/ctrl/wire.go
@@ -0,0 +1,81 @@
+package ctrl
+
+import (
+	"time"
+
+	"lovagelink.example/lovagelink/internal/state"
+)
+
+// Periods that all hosts share.
+const (
+	HostLease    = 1500 * time.Millisecond // from the leader's clock
+	beatPeriod   = 200 * time.Millisecond
+	callTimeout  = 400 * time.Millisecond
+	watchTimeout = time.Second
+	loadPeriod   = time.Second
+	stepPeriod   = 50 * time.Millisecond
+)
+
+// Beat is an entry host's heartbeat; one heartbeat renews the lease for all that the host holds.
+type Beat struct {
+	Zone        string            `json:"zone"`
+	Incarnation string            `json:"incarnation"`
+	Index       uint64            `json:"index"`
+	Announced   []state.Announced `json:"announced,omitempty"`
+	Reached     []string          `json:"reached,omitempty"`  // upstreams that confirmed a grant lately
+	Draining    []string          `json:"draining,omitempty"` // upstreams that say they are leaving
+	Idle        []string          `json:"idle,omitempty"`     // draining upstreams without work
+	Loads       []SlotLoad        `json:"loads,omitempty"`
+	Leaving     bool              `json:"leaving,omitempty"` // the host is stopping and wants no roles
+}
+
+// SlotLoad is how many requests a slot has had since the last report.
+type SlotLoad struct {
+	Service string `json:"service"`
+	Slot    int    `json:"slot"`
+	Count   int    `json:"count"`
+}
+
+// BeatReply grants the lease, or names the host that may do so.
+type BeatReply struct {
+	Granted bool   `json:"granted"`
+	Leader  string `json:"leader,omitempty"`
+	Index   uint64 `json:"index"`
+}
+
+// Proposal is a command for the log.
+type Proposal struct {
+	Command state.Command `json:"command"`
+}
+
+// ProposalReply is the log position of a command and its answer.
+type ProposalReply struct {
+	OK     bool   `json:"ok"`
+	Leader string `json:"leader,omitempty"`
+	Index  uint64 `json:"index"`
+	Answer []byte `json:"answer,omitempty"`
+}
+
+// LostReport says that an upstream is silent and that all its grants have ended.
+type LostReport struct {
+	Upstream string `json:"upstream"`
+	Epoch    uint64 `json:"epoch"`
+}
+
+// Released says that a slot has no work under way and no grant in force.
+type Released struct {
+	Service string `json:"service"`
+	Slot    int    `json:"slot"`
+	Epoch   uint64 `json:"epoch"`
+}
+
+// WatchArgs asks for what follows an index.
+type WatchArgs struct {
+	Index uint64 `json:"index"`
+}
+
+// Progress tells which index each host has reached.
+type Progress struct {
+	Leader string            `json:"leader"`
+	Hosts  map[string]uint64 `json:"hosts"`
+}
--- /dev/null
+++ b/internal/disp/book.go
@@ -0,0 +1,173 @@
+package disp
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Limits of the book.
+const (
+	keepOutcomes = 5 * time.Minute
+	maxRecords   = 100_000
+)
+
+// Note is one record of the book on its way to another host.
+type Note struct {
+	Service string   `json:"service"`
+	Slot    int      `json:"slot"`
+	ID      string   `json:"id"`
+	Print   uint64   `json:"print"`
+	Outcome *Outcome `json:"outcome,omitempty"` // nil while it is not known
+}
+
+// Book remembers exclusive requests by id, so that a resend gets the first outcome. A record stands
+// for a request that this host dispatches, or that it has witnessed being started elsewhere.
+type Book struct {
+	mu      sync.Mutex
+	records map[noteKey]*record
+	order   []*record // by age
+}
+
+type noteKey struct {
+	service string
+	id      string
+}
+
+// record is one request; done closes once the outcome is known.
+type record struct {
+	note    Note
+	noted   time.Time
+	running bool // a task on this host will settle it
+	settled bool
+	done    chan struct{}
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{records: make(map[noteKey]*record)}
+}
+
+// begin enters a request, or returns the record of an earlier one with the same id.
+func (b *Book) begin(now time.Time, r Request) (*record, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := noteKey{r.Service, r.ID}
+	if known := b.records[key]; known != nil {
+		if !known.running && !known.settled {
+			known.settle(unknown("an earlier attempt was started and its outcome was lost"))
+		}
+		return known, false
+	}
+	one := b.enter(now, Note{Service: r.Service, Slot: r.Slot, ID: r.ID, Print: r.Print})
+	one.running = true
+	return one, true
+}
+
+// enter adds a record; the lock is held.
+func (b *Book) enter(now time.Time, note Note) *record {
+	one := &record{note: note, noted: now, done: make(chan struct{})}
+	b.records[noteKey{note.Service, note.ID}] = one
+	b.order = append(b.order, one)
+	b.expire(now)
+	return one
+}
+
+// expire forgets records that are old or too many; running ones stay.
+func (b *Book) expire(now time.Time) {
+	for len(b.order) > 0 {
+		oldest := b.order[0]
+		isOld := now.Sub(oldest.noted) > keepOutcomes || len(b.order) > maxRecords
+		if !isOld || oldest.running {
+			return
+		}
+		b.order = b.order[1:]
+		key := noteKey{oldest.note.Service, oldest.note.ID}
+		if b.records[key] == oldest {
+			delete(b.records, key)
+		}
+	}
+}
+
+// finish settles a record; a request that did not run is forgotten, so that a resend may run.
+func (b *Book) finish(one *record, outcome Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	one.running = false
+	if outcome.Verdict == verd.NotRun {
+		delete(b.records, noteKey{one.note.Service, one.note.ID})
+	}
+	one.settle(outcome)
+}
+
+func (one *record) settle(outcome Outcome) {
+	if one.settled {
+		return
+	}
+	one.settled = true
+	one.note.Outcome = &outcome
+	close(one.done)
+}
+
+// outcome returns the settled outcome as an answer to a resend.
+func (b *Book) outcome(one *record, r Request) Outcome {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if one.note.Print != r.Print {
+		return refused(http.StatusUnprocessableEntity, "the request id was used for another request; take a new id", 0)
+	}
+	outcome := *one.note.Outcome
+	outcome.Repeated = true
+	return outcome
+}
+
+// Witness notes that a request is about to be started elsewhere, or how it ended there.
+func (b *Book) Witness(now time.Time, note Note) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.records[noteKey{note.Service, note.ID}]
+	if known == nil {
+		known = b.enter(now, note)
+		known.note.Outcome = nil
+	}
+	if note.Outcome == nil || known.running {
+		return
+	}
+	if note.Outcome.Verdict == verd.NotRun {
+		delete(b.records, noteKey{note.Service, note.ID})
+	}
+	known.settle(*note.Outcome)
+}
+
+// Export lists what the book knows of some slots of a service.
+func (b *Book) Export(service string, slots []int) []Note {
+	wanted := make(map[int]bool, len(slots))
+	for _, slot := range slots {
+		wanted[slot] = true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var notes []Note
+	for _, one := range b.records {
+		if one.note.Service == service && wanted[one.note.Slot] {
+			notes = append(notes, one.note)
+		}
+	}
+	return notes
+}
+
+// Import takes in what other hosts know; a start without an outcome counts as one that may have run.
+func (b *Book) Import(now time.Time, notes []Note) {
+	for _, note := range notes {
+		b.Witness(now, note)
+	}
+}
+
+// Len returns the number of records.
+func (b *Book) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.records)
+}
--- /dev/null
+++ b/internal/disp/disp.go
@@ -0,0 +1,216 @@
+package disp
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/queue"
+)
+
+// Lease tells until when this host may act as a dispatcher.
+type Lease interface {
+	LeaseUntil() time.Time
+}
+
+// Witness makes sure before an exclusive request is sent that another host knows of it, and that
+// its entry host still wants it.
+type Witness interface {
+	Start(ctx context.Context, r Request) error
+	Finished(r Request, outcome Outcome)
+}
+
+// Historian collects what other hosts know of earlier requests of some slots; whole is false when
+// not all of them have answered.
+type Historian interface {
+	Collect(ctx context.Context, service string, slots []int) (notes []Note, whole bool)
+}
+
+// Control takes a dispatcher's reports.
+type Control interface {
+	Lost(ctx context.Context, upstream string, epoch uint64)
+	Released(ctx context.Context, service string, slots map[int]uint64)
+}
+
+// Deps is what a dispatcher stands on.
+type Deps struct {
+	Host      string
+	Network   peer.Network
+	Lease     Lease
+	Witness   Witness
+	Historian Historian
+	Control   Control
+	Book      *Book
+	Stats     *Stats
+}
+
+// Dispatcher orders and sends all work of one upstream.
+type Dispatcher struct {
+	Deps
+	upstream  state.Announced
+	epoch     uint64
+	exclusive bool
+	client    *http.Client // for work
+	prober    *http.Client // for grants
+	nudge     chan struct{}
+	tomb      tomb.Tomb
+
+	mu      sync.Mutex
+	queue   *queue.Queue[*waiting]
+	floors  []float64
+	shares  map[int]*share
+	running int
+	pace    pace
+	closed  bool
+	grant   grantState
+}
+
+// waiting is a queued request; ready closes when its turn has come.
+type waiting struct {
+	ready chan struct{}
+}
+
+// New returns the dispatcher for a role; Start sets it to work.
+func New(now time.Time, role Role, deps Deps) *Dispatcher {
+	d := &Dispatcher{
+		Deps:      deps,
+		upstream:  role.Upstream.Announced,
+		epoch:     role.Upstream.Epoch,
+		exclusive: role.Exclusive,
+		client:    newClient(deps.Network, role.Upstream.Connections),
+		prober:    newClient(deps.Network, 2),
+		nudge:     make(chan struct{}, 1),
+		queue:     queue.New[*waiting](role.Floors...),
+		floors:    role.Floors,
+		shares:    make(map[int]*share),
+		pace:      newPace(role.Upstream.Slots),
+		grant:     grantState{since: now},
+	}
+	return d
+}
+
+// Start begins to grant slots and to send.
+func (d *Dispatcher) Start() {
+	d.tomb.Go(d.grantLoop)
+}
+
+// Stop ends the dispatcher: what waits is given back, what was sent is left to end by itself.
+func (d *Dispatcher) Stop() {
+	d.close()
+	d.tomb.Kill(nil)
+	_ = d.tomb.Wait()
+	d.client.CloseIdleConnections()
+	d.prober.CloseIdleConnections()
+}
+
+func (d *Dispatcher) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closeLocked()
+}
+
+func (d *Dispatcher) closeLocked() {
+	d.closed = true
+	for _, s := range d.shares {
+		s.leave()
+	}
+}
+
+// Sync takes in the slots that the upstream owns now.
+func (d *Dispatcher) Sync(role Role) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	var fresh []int
+	for number, slot := range role.Slots {
+		known := d.shares[number]
+		if known == nil || known.epoch != slot.Epoch {
+			if known != nil {
+				known.leave()
+			}
+			d.shares[number] = newShare(number, slot.Epoch)
+			fresh = append(fresh, number)
+		}
+		if slot.Next != "" {
+			d.shares[number].leave()
+		}
+	}
+	for number, s := range d.shares {
+		if _, ok := role.Slots[number]; !ok {
+			s.leave()
+			delete(d.shares, number)
+		}
+	}
+	if len(fresh) > 0 && d.tomb.Alive() {
+		d.tomb.Go(func() error { return d.learnHistory(fresh) })
+	}
+	d.rouse()
+}
+
+// learnHistory opens new slots once it is known which exclusive requests they have had.
+func (d *Dispatcher) learnHistory(slots []int) error {
+	whole := true
+	if d.exclusive {
+		var notes []Note
+		ctx := d.tomb.Context(context.Background())
+		notes, whole = d.Historian.Collect(ctx, d.upstream.Service, slots)
+		d.Book.Import(time.Now(), notes)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, number := range slots {
+		if s := d.shares[number]; s != nil && !s.isReady() {
+			s.gap = !whole
+			close(s.ready)
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) rouse() {
+	select {
+	case d.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Counts adds the requests of each slot since the last call to add.
+func (d *Dispatcher) Counts(add func(slot, count int)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for number, s := range d.shares {
+		if s.count > 0 {
+			add(number, s.count)
+			s.count = 0
+		}
+	}
+}
+
+// Health is what a dispatcher knows of its upstream.
+type Health struct {
+	Reached  bool
+	Draining bool
+	Idle     bool
+	Queued   int
+	Running  int
+}
+
+// Health returns the present state of the upstream.
+func (d *Dispatcher) Health(now time.Time) Health {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Health{
+		Reached:  now.Sub(d.grant.acked) < grantPeriod*3,
+		Draining: d.grant.draining,
+		Idle:     len(d.shares) == 0 && d.running == 0 && d.queue.Len() == 0,
+		Queued:   d.queue.Len(),
+		Running:  d.running,
+	}
+}
--- /dev/null
+++ b/internal/disp/pace.go
@@ -0,0 +1,46 @@
+package disp
+
+import "time"
+
+// Pacing of an upstream.
+const (
+	firstService = 20 * time.Millisecond // assumed until answers have been seen
+	smoothing    = 0.1
+	shedPause    = 100 * time.Millisecond
+	growAfter    = 8 // answers between two steps of the limit upwards
+)
+
+// pace decides how many requests an upstream works on at a time, and how long one takes.
+type pace struct {
+	slots   int
+	limit   int
+	answers int
+	service time.Duration
+	hold    time.Time // nothing starts before
+}
+
+func newPace(slots int) pace {
+	return pace{slots: max(slots, 1), limit: max(slots, 1), service: firstService}
+}
+
+// answered takes in an answer; the limit grows back step by step.
+func (p *pace) answered(took time.Duration) {
+	p.service += time.Duration(smoothing * float64(took-p.service))
+	p.answers++
+	if p.answers >= growAfter && p.limit < p.slots {
+		p.limit++
+		p.answers = 0
+	}
+}
+
+// shed takes in a refusal by an upstream that is overloaded.
+func (p *pace) shed(now time.Time) {
+	p.limit = max(p.limit/2, 1)
+	p.answers = 0
+	p.hold = now.Add(shedPause)
+}
+
+// wait estimates how long a request waits behind others.
+func (p *pace) wait(ahead int) time.Duration {
+	return time.Duration(ahead) * p.service / time.Duration(p.limit)
+}
--- /dev/null
+++ b/internal/disp/role.go
@@ -0,0 +1,44 @@
+package disp
+
+import "lovagelink.example/lovagelink/internal/state"
+
+// Role is one upstream of which this host is the dispatcher, with the slots that it owns.
+type Role struct {
+	Upstream  state.Upstream
+	Exclusive bool // some work of the service must not repeat
+	Floors    []float64
+	Slots     map[int]state.Slot
+}
+
+// share is one slot of the upstream as its dispatcher sees it.
+type share struct {
+	number int
+	epoch  uint64
+	ready  chan struct{} // closes once earlier requests of the slot are known
+	gone   chan struct{} // closes when the slot is to be handed over or has been taken away
+	moving bool
+	active int // requests that were sent and are not answered
+	count  int // requests since the last report
+	gap    bool
+}
+
+func newShare(number int, epoch uint64) *share {
+	return &share{number: number, epoch: epoch, ready: make(chan struct{}), gone: make(chan struct{})}
+}
+
+// leave begins the handing over.
+func (s *share) leave() {
+	if !s.moving {
+		s.moving = true
+		close(s.gone)
+	}
+}
+
+func (s *share) isReady() bool {
+	select {
+	case <-s.ready:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/disp/run.go
@@ -0,0 +1,235 @@
+package disp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"lovagelink.example/lovagelink/pkg/queue"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// The reasons of outcomes that did not run.
+const (
+	reasonMoved     = "the slot has another owner now"
+	reasonLease     = "the dispatcher has no lease"
+	reasonGrant     = "the upstream has not confirmed its grant"
+	reasonWithdrawn = "the entry host no longer waits for the request"
+	reasonLate      = "the deadline would pass before the request is done"
+)
+
+// Run carries a request through: history, queue, start, answer.
+func (d *Dispatcher) Run(ctx context.Context, r Request) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, r.Left)
+	defer cancel()
+	s, ok := d.shareOf(r.Slot)
+	if !ok {
+		return notRun(reasonMoved)
+	}
+	select {
+	case <-s.ready:
+	case <-s.gone:
+		return notRun(reasonMoved)
+	case <-ctx.Done():
+		return notRun(reasonMoved)
+	}
+	if r.Idempotent {
+		return d.attempt(ctx, s, r)
+	}
+	return d.runOnce(ctx, s, r)
+}
+
+// shareOf counts a request for its slot.
+func (d *Dispatcher) shareOf(slot int) (*share, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.shares[slot]
+	if s == nil || s.moving || d.closed {
+		return nil, false
+	}
+	s.count++
+	return s, true
+}
+
+// runOnce joins an earlier request with the same id, or is the first.
+func (d *Dispatcher) runOnce(ctx context.Context, s *share, r Request) Outcome {
+	one, isFirst := d.Book.begin(time.Now(), r)
+	if !isFirst {
+		return d.join(ctx, one, r)
+	}
+	outcome := d.first(ctx, s, r)
+	d.Book.finish(one, outcome)
+	return outcome
+}
+
+// join waits for the outcome of an earlier request.
+func (d *Dispatcher) join(ctx context.Context, one *record, r Request) Outcome {
+	d.Stats.Joined.Add(1)
+	_ = d.Witness.Start(ctx, r)
+	select {
+	case <-one.done:
+	case <-ctx.Done():
+		return unknown("an earlier request of this id is still under way")
+	}
+	return d.Book.outcome(one, r)
+}
+
+func (d *Dispatcher) first(ctx context.Context, s *share, r Request) Outcome {
+	if r.Started {
+		return unknown("an earlier attempt was started and its outcome was lost")
+	}
+	if r.Resend && s.gap {
+		return unknown("the hosts that knew of earlier attempts are lost")
+	}
+	return d.attempt(ctx, s, r)
+}
+
+// attempt waits for its turn and sends the request.
+func (d *Dispatcher) attempt(ctx context.Context, s *share, r Request) Outcome {
+	if outcome, ok := d.await(ctx, s, r); !ok {
+		return outcome
+	}
+	defer d.leave(s)
+	if reason := d.obstacle(time.Now(), s); reason != "" {
+		return notRun(reason)
+	}
+	if r.Idempotent {
+		return d.send(ctx, s, r)
+	}
+	if err := d.Witness.Start(ctx, r); err != nil {
+		return notRun(reasonWithdrawn)
+	}
+	outcome := d.sendStarted(ctx, s, r)
+	d.Witness.Finished(r, outcome)
+	return outcome
+}
+
+// sendStarted sends a request that has been witnessed. It no longer ends with its caller, so that a
+// resend finds the outcome.
+func (d *Dispatcher) sendStarted(ctx context.Context, s *share, r Request) Outcome {
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	if reason := d.obstacle(time.Now(), s); reason != "" {
+		return notRun(reason)
+	}
+	return d.send(ctx, s, r)
+}
+
+// await queues a request until it may start; ok is false with the outcome of one that may not.
+func (d *Dispatcher) await(ctx context.Context, s *share, r Request) (Outcome, bool) {
+	item, outcome, ok := d.enqueue(time.Now(), s, r)
+	if !ok {
+		return outcome, false
+	}
+	select {
+	case <-item.Value.ready:
+		return Outcome{}, true
+	case <-s.gone:
+		outcome = notRun(reasonMoved)
+	case <-ctx.Done():
+		outcome = refused(http.StatusServiceUnavailable, reasonLate, time.Second)
+	}
+	if d.withdraw(s, item) {
+		return outcome, false
+	}
+	return Outcome{}, true
+}
+
+// enqueue refuses at once what could not be done in time.
+func (d *Dispatcher) enqueue(now time.Time, s *share, r Request) (*queue.Item[*waiting], Outcome, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || s.moving {
+		return nil, notRun(reasonMoved), false
+	}
+	rank := min(r.Rank, len(d.floors)-1)
+	wait := d.pace.wait(d.queue.Ahead(rank))
+	if wait+d.pace.service > r.Left {
+		d.Stats.Refused.Add(1)
+		return nil, refused(http.StatusServiceUnavailable, reasonLate, wait), false
+	}
+	item := d.queue.Push(now, &waiting{ready: make(chan struct{})}, rank, now.Add(r.Left))
+	s.active++
+	d.pump(now)
+	return item, Outcome{}, true
+}
+
+// withdraw takes a request out of the queue; it reports false when its turn has just come.
+func (d *Dispatcher) withdraw(s *share, item *queue.Item[*waiting]) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.queue.Remove(item) {
+		return false
+	}
+	d.rest(s)
+	return true
+}
+
+// rest counts a request of a slot as ended.
+func (d *Dispatcher) rest(s *share) {
+	s.active--
+	if s.moving && s.active == 0 {
+		d.rouse()
+	}
+}
+
+// leave ends a request that had its turn, and lets the next one start.
+func (d *Dispatcher) leave(s *share) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running--
+	d.rest(s)
+	d.pump(time.Now())
+}
+
+// pump starts what may start.
+func (d *Dispatcher) pump(now time.Time) {
+	if now.Before(d.pace.hold) {
+		return
+	}
+	for d.running < d.pace.limit {
+		item := d.queue.Pop()
+		if item == nil {
+			return
+		}
+		d.running++
+		close(item.Value.ready)
+	}
+}
+
+// obstacle says why a request can't be sent at the present time, or "".
+func (d *Dispatcher) obstacle(now time.Time, s *share) string {
+	if !now.Before(d.Lease.LeaseUntil()) {
+		return reasonLease
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case s.moving:
+		return reasonMoved
+	case !d.grant.covers(now, s):
+		return reasonGrant
+	}
+	return ""
+}
+
+// settlePace takes in how an attempt went.
+func (d *Dispatcher) settlePace(began, now time.Time, outcome Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case outcome.Verdict == verd.Ran:
+		d.pace.answered(now.Sub(began))
+	case outcome.Status == http.StatusServiceUnavailable:
+		d.pace.shed(now)
+		time.AfterFunc(shedPause, d.resume)
+	}
+}
+
+// resume starts what a shed upstream has held up.
+func (d *Dispatcher) resume() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.pump(time.Now())
+}
--- /dev/null
+++ b/internal/disp/send.go
@@ -0,0 +1,136 @@
+package disp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/upapi"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Limits of an answer and of a connection to an upstream.
+const (
+	maxAnswer   = 16 << 20 // bytes
+	idleTimeout = 30 * time.Second
+)
+
+func newClient(network peer.Network, connections int) *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		to, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return network.Dial(ctx, to)
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxConnsPerHost:     max(connections, 1),
+			MaxIdleConnsPerHost: max(connections, 1),
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// send carries one request to the upstream and reads the whole answer.
+func (d *Dispatcher) send(ctx context.Context, s *share, r Request) Outcome {
+	began := time.Now()
+	request, err := d.build(ctx, began, s, r)
+	if err != nil {
+		return refused(http.StatusBadRequest, err.Error(), 0)
+	}
+	d.Stats.Sent.Add(1)
+	outcome := d.exchange(request, r)
+	d.settlePace(began, time.Now(), outcome)
+	return outcome
+}
+
+// build makes the request to the upstream. Its body can't be rewound, so that the library never
+// sends it a second time on its own.
+func (d *Dispatcher) build(ctx context.Context, now time.Time, s *share, r Request) (*http.Request, error) {
+	url := "http://" + d.upstream.Address.String() + r.Path
+	request, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, fmt.Errorf("request can't be passed on: %w", err)
+	}
+	request.GetBody = nil
+	request.Header = r.Header.Clone()
+	if request.Header == nil {
+		request.Header = make(http.Header)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	deadline, _ := ctx.Deadline()
+	before := minTime(d.grant.until, deadline)
+	set := request.Header.Set
+	set(upapi.HeaderRequestID, r.ID)
+	set(upapi.HeaderService, r.Service)
+	set(upapi.HeaderKey, r.Key)
+	set(upapi.HeaderSlot, strconv.Itoa(r.Slot))
+	set(upapi.HeaderEpoch, strconv.FormatUint(s.epoch, 10))
+	set(upapi.HeaderDispatch, strconv.FormatUint(d.epoch, 10))
+	set(upapi.HeaderRunBefore, strconv.FormatInt(int64(d.grant.clock+before.Sub(d.grant.acked)), 10))
+	set(upapi.HeaderDeadline, strconv.FormatInt(deadline.Sub(now).Milliseconds(), 10))
+	if !r.Idempotent {
+		set(upapi.HeaderExclusive, "true")
+	}
+	return request, nil
+}
+
+// exchange sends the request and checks that the answer is whole and its own.
+func (d *Dispatcher) exchange(request *http.Request, r Request) Outcome {
+	response, err := d.client.Do(request)
+	if err != nil {
+		return d.failed(err, r)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return d.failed(err, r)
+	}
+	if len(body) > maxAnswer {
+		return unknown(fmt.Sprintf("the answer is longer than %d bytes", maxAnswer))
+	}
+	if id := response.Header.Get(upapi.HeaderRequestID); id != "" && id != r.ID {
+		d.Stats.Crossed.Add(1)
+		d.client.CloseIdleConnections()
+		return d.failed(errors.New("the answer belongs to another request"), r)
+	}
+	verdict := verd.Ran
+	if text := response.Header.Get(upapi.HeaderVerdict); text != "" {
+		verdict = verd.Parse(text)
+	}
+	outcome := Outcome{Verdict: verdict, Status: response.StatusCode, Header: response.Header, Body: body}
+	if verdict == verd.NotRun {
+		outcome.Retry = true
+		outcome.Reason = "the upstream refused: " + string(bytes.TrimSpace(body))
+	}
+	return outcome
+}
+
+// failed judges an exchange without an answer. Only a connection that was never made is sure not to
+// have carried the request.
+func (d *Dispatcher) failed(err error, r Request) Outcome {
+	d.Stats.Failed.Add(1)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return notRun("the upstream accepts no connection")
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		d.client.CloseIdleConnections()
+	}
+	outcome := unknown("the upstream has not answered: " + err.Error())
+	outcome.Retry = r.Idempotent
+	return outcome
+}
--- /dev/null
+++ b/internal/disp/set.go
@@ -0,0 +1,174 @@
+package disp
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"lovagelink.example/lovagelink/internal/ctrl"
+	"lovagelink.example/lovagelink/internal/state"
+)
+
+// Set holds the dispatchers of one host and keeps them in step with the state.
+type Set struct {
+	deps        Deps
+	incarnation string
+	feed        *state.Feed
+	tomb        tomb.Tomb
+
+	mu    sync.Mutex
+	disps map[string]*Dispatcher
+	roles map[string]Role
+}
+
+// NewSet returns the set for this life of the host.
+func NewSet(feed *state.Feed, incarnation string, deps Deps) *Set {
+	return &Set{
+		deps: deps, incarnation: incarnation, feed: feed,
+		disps: make(map[string]*Dispatcher), roles: make(map[string]Role),
+	}
+}
+
+// Start follows the state.
+func (s *Set) Start() {
+	s.tomb.Go(func() error {
+		for {
+			changed := s.feed.Changed()
+			s.sync(time.Now())
+			select {
+			case <-changed:
+			case <-s.tomb.Dying():
+				return nil
+			}
+		}
+	})
+}
+
+// Stop ends all dispatchers.
+func (s *Set) Stop() {
+	s.tomb.Kill(nil)
+	_ = s.tomb.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, d := range s.disps {
+		d.Stop()
+		delete(s.disps, id)
+	}
+}
+
+// sync starts, changes and ends dispatchers as the state says.
+func (s *Set) sync(now time.Time) {
+	roles := s.present()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roles = roles
+	for id, d := range s.disps {
+		if role, ok := roles[id]; !ok || role.Upstream.Epoch != d.epoch || !d.fits(role) {
+			go d.Stop()
+			delete(s.disps, id)
+		}
+	}
+	for id, role := range roles {
+		d := s.disps[id]
+		if d == nil {
+			d = New(now, role, s.deps)
+			s.disps[id] = d
+			d.Start()
+		}
+		d.Sync(role)
+	}
+}
+
+// present reads the roles of this host from the state.
+func (s *Set) present() map[string]Role {
+	roles := make(map[string]Role)
+	s.feed.Read(func(st *state.State) {
+		for id, u := range st.Upstreams {
+			service := st.Config.ServiceNamed(u.Service)
+			if u.Host != s.deps.Host || u.HostIncarnation != s.incarnation || u.Phase == state.Lost || service == nil {
+				continue
+			}
+			roles[id] = Role{
+				Upstream: *u, Exclusive: service.HasExclusive(),
+				Floors: st.Config.Floors(), Slots: make(map[int]state.Slot),
+			}
+		}
+		for _, table := range st.Tables {
+			for number, slot := range table.Slots {
+				if role, ok := roles[slot.Owner]; ok {
+					role.Slots[number] = slot
+				}
+			}
+		}
+	})
+	return roles
+}
+
+// Run carries out a request if this host dispatches for its upstream.
+func (s *Set) Run(ctx context.Context, r Request) Outcome {
+	s.mu.Lock()
+	d := s.disps[r.Upstream]
+	s.mu.Unlock()
+	if d == nil {
+		return notRun(reasonMoved)
+	}
+	return d.Run(ctx, r)
+}
+
+// Report adds to a heartbeat what the dispatchers know.
+func (s *Set) Report(now time.Time, withLoads bool, beat *ctrl.Beat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, d := range s.disps {
+		health := d.Health(now)
+		if health.Reached {
+			beat.Reached = append(beat.Reached, id)
+		}
+		if health.Draining {
+			beat.Draining = append(beat.Draining, id)
+		}
+		if health.Idle && s.roles[id].Upstream.Phase == state.Draining {
+			beat.Idle = append(beat.Idle, id)
+		}
+		if withLoads {
+			d.Counts(func(slot, count int) {
+				beat.Loads = append(beat.Loads, ctrl.SlotLoad{Service: d.upstream.Service, Slot: slot, Count: count})
+			})
+		}
+	}
+}
+
+// Health returns the health of each upstream that this host dispatches for.
+func (s *Set) Health(now time.Time) map[string]Health {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]Health, len(s.disps))
+	for id, d := range s.disps {
+		all[id] = d.Health(now)
+	}
+	return all
+}
+
+// Busy returns how many requests wait or run on this host.
+func (s *Set) Busy(now time.Time) int {
+	busy := 0
+	for _, health := range s.Health(now) {
+		busy += health.Queued + health.Running
+	}
+	return busy
+}
+
+// fits reports whether a role keeps the ranks that the dispatcher was made with.
+func (d *Dispatcher) fits(role Role) bool {
+	if len(role.Floors) != len(d.floors) {
+		return false
+	}
+	for i, floor := range role.Floors {
+		if floor != d.floors[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/disp/wire.go
@@ -0,0 +1,56 @@
+package disp
+
+import (
+	"net/http"
+	"time"
+
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Request is a caller's request on its way from the entry host to a dispatcher.
+type Request struct {
+	Service    string        `json:"service"`
+	Key        string        `json:"key"`
+	Slot       int           `json:"slot"`
+	Upstream   string        `json:"upstream"`
+	ID         string        `json:"id"`
+	Token      string        `json:"token"`  // of this attempt
+	Origin     string        `json:"origin"` // the entry host
+	Method     string        `json:"method"`
+	Path       string        `json:"path"`
+	Header     http.Header   `json:"header"`
+	Body       []byte        `json:"body"`
+	Print      uint64        `json:"print"` // fingerprint of method, path and body
+	Rank       int           `json:"rank"`
+	Idempotent bool          `json:"idempotent"`
+	Left       time.Duration `json:"left"`    // time until the deadline
+	Started    bool          `json:"started"` // an earlier attempt may have been sent
+	Resend     bool          `json:"resend"`  // the caller says that it has sent the request before
+}
+
+// Outcome is what became of a request.
+type Outcome struct {
+	Verdict    verd.Verdict  `json:"verdict"`
+	Status     int           `json:"status"`
+	Header     http.Header   `json:"header,omitempty"`
+	Body       []byte        `json:"body,omitempty"`
+	Reason     string        `json:"reason,omitempty"`
+	Retry      bool          `json:"retry,omitempty"` // another attempt may go better
+	RetryAfter time.Duration `json:"retry-after,omitempty"`
+	Repeated   bool          `json:"repeated,omitempty"` // the outcome of an earlier request of this id
+}
+
+// notRun is an outcome that leaves the request free to be tried again.
+func notRun(reason string) Outcome {
+	return Outcome{Verdict: verd.NotRun, Status: http.StatusServiceUnavailable, Reason: reason, Retry: true}
+}
+
+// refused is an outcome that no further attempt would improve.
+func refused(status int, reason string, after time.Duration) Outcome {
+	return Outcome{Verdict: verd.NotRun, Status: status, Reason: reason, RetryAfter: after}
+}
+
+// unknown is the outcome of a request that may have run.
+func unknown(reason string) Outcome {
+	return Outcome{Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Reason: reason}
+}
--- /dev/null
+++ b/internal/peer/hub.go
@@ -0,0 +1,284 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+	"gopkg.in/tomb.v2"
+)
+
+// Periods of a link.
+const (
+	pingPeriod  = 300 * time.Millisecond
+	maxSilence  = time.Second
+	dialTimeout = 500 * time.Millisecond
+	redialPause = 50 * time.Millisecond
+)
+
+// The errors of a call that got no answer.
+var (
+	ErrUnknownHost = errors.New("no such host")
+	ErrNoLink      = errors.New("no link to the host")
+)
+
+// Handler answers one method; from is the name of the calling host.
+type Handler func(ctx context.Context, from string, params json.RawMessage) (any, error)
+
+// Hub holds this host's links to all others.
+type Hub struct {
+	name     string
+	network  Network
+	address  netip.AddrPort
+	handlers map[string]Handler
+	links    map[string]*link
+	tomb     tomb.Tomb
+
+	mu       sync.Mutex
+	incoming map[*jsonrpc2.Conn]struct{}
+}
+
+// New returns a hub that knows the addresses of the hosts; the handlers are added before Start.
+func New(network Network, name string, addresses map[string]netip.AddrPort) *Hub {
+	h := &Hub{
+		name:     name,
+		network:  network,
+		address:  addresses[name],
+		handlers: make(map[string]Handler),
+		links:    make(map[string]*link),
+		incoming: make(map[*jsonrpc2.Conn]struct{}),
+	}
+	for other, address := range addresses {
+		if other != name {
+			h.links[other] = newLink(other, address)
+		}
+	}
+	h.Handle("ping", func(context.Context, string, json.RawMessage) (any, error) { return true, nil })
+	return h
+}
+
+// Handle sets the handler of a method.
+func (h *Hub) Handle(method string, handler Handler) {
+	h.handlers[method] = handler
+}
+
+// On sets a handler with typed parameters and a typed answer.
+func On[A, R any](h *Hub, method string, handle func(ctx context.Context, from string, args A) (R, error)) {
+	h.Handle(method, func(ctx context.Context, from string, params json.RawMessage) (any, error) {
+		var args A
+		if err := json.Unmarshal(params, &args); err != nil {
+			return nil, err
+		}
+		return handle(ctx, from, args)
+	})
+}
+
+// Start listens for other hosts and dials them.
+func (h *Hub) Start() error {
+	listener, err := h.network.Listen(h.address)
+	if err != nil {
+		return err
+	}
+	h.tomb.Go(func() error { return h.serve(listener) })
+	h.tomb.Go(func() error {
+		<-h.tomb.Dying()
+		return listener.Close()
+	})
+	for _, l := range h.links {
+		h.tomb.Go(func() error { return h.keep(l) })
+	}
+	return nil
+}
+
+// Stop closes all links.
+func (h *Hub) Stop() {
+	h.tomb.Kill(nil)
+	h.mu.Lock()
+	for conn := range h.incoming {
+		go conn.Close()
+	}
+	h.mu.Unlock()
+	_ = h.tomb.Wait()
+}
+
+// Call asks another host and waits for its answer; a call to this host itself takes no link.
+func Call[R any](ctx context.Context, h *Hub, host, method string, params any) (R, error) {
+	var answer R
+	if host == h.name {
+		return callSelf[R](ctx, h, method, params)
+	}
+	l := h.links[host]
+	if l == nil {
+		return answer, ErrUnknownHost
+	}
+	conn, err := l.await(ctx)
+	if err != nil {
+		return answer, err
+	}
+	err = conn.Call(ctx, method, envelope{From: h.name, Body: params}, &answer)
+	return answer, err
+}
+
+func callSelf[R any](ctx context.Context, h *Hub, method string, params any) (R, error) {
+	var answer R
+	data, err := json.Marshal(params)
+	if err != nil {
+		return answer, err
+	}
+	result, err := h.handlers[method](ctx, h.name, data)
+	if err != nil {
+		return answer, err
+	}
+	typed, ok := result.(R)
+	if !ok {
+		return answer, errors.New("answer of another type than asked for")
+	}
+	return typed, nil
+}
+
+// Notify tells another host something without waiting for an answer.
+func (h *Hub) Notify(ctx context.Context, host, method string, params any) error {
+	l := h.links[host]
+	if l == nil {
+		return ErrUnknownHost
+	}
+	conn := l.current()
+	if conn == nil {
+		return ErrNoLink
+	}
+	return conn.Notify(ctx, method, envelope{From: h.name, Body: params})
+}
+
+// Hosts returns the names of all other hosts.
+func (h *Hub) Hosts() []string {
+	var names []string
+	for name := range h.links {
+		names = append(names, name)
+	}
+	return names
+}
+
+// IsLinked reports whether a link to the host is open.
+func (h *Hub) IsLinked(host string) bool {
+	l := h.links[host]
+	return l != nil && l.current() != nil
+}
+
+// envelope names the caller beside the parameters.
+type envelope struct {
+	From string `json:"from"`
+	Body any    `json:"body"`
+}
+
+// serve takes connections of other hosts.
+func (h *Hub) serve(listener net.Listener) error {
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if !h.tomb.Alive() {
+				return nil
+			}
+			return err
+		}
+		conn := h.open(raw)
+		h.mu.Lock()
+		h.incoming[conn] = struct{}{}
+		h.mu.Unlock()
+		h.tomb.Go(func() error {
+			select {
+			case <-conn.DisconnectNotify():
+			case <-h.tomb.Dying():
+				conn.Close()
+			}
+			h.mu.Lock()
+			delete(h.incoming, conn)
+			h.mu.Unlock()
+			return nil
+		})
+	}
+}
+
+func (h *Hub) open(raw net.Conn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(quietConn{raw, maxSilence}, jsonrpc2.VarintObjectCodec{})
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(h.answer).SuppressErrClosed())
+	quiet := jsonrpc2.SetLogger(silentLogger{})
+	return jsonrpc2.NewConn(h.tomb.Context(context.Background()), stream, handler, quiet)
+}
+
+func (h *Hub) answer(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+	handler := h.handlers[request.Method]
+	if handler == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: request.Method}
+	}
+	var body struct {
+		From string          `json:"from"`
+		Body json.RawMessage `json:"body"`
+	}
+	if request.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	if err := json.Unmarshal(*request.Params, &body); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return handler(ctx, body.From, body.Body)
+}
+
+// keep holds one link open until the hub stops.
+func (h *Hub) keep(l *link) error {
+	for h.tomb.Alive() {
+		h.keepOnce(l)
+		timer := time.NewTimer(redialPause)
+		select {
+		case <-timer.C:
+		case <-h.tomb.Dying():
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+func (h *Hub) keepOnce(l *link) {
+	ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), dialTimeout)
+	raw, err := h.network.Dial(ctx, l.address)
+	cancel()
+	if err != nil {
+		return
+	}
+	conn := h.open(raw)
+	l.set(conn)
+	defer l.set(nil)
+	defer conn.Close()
+	h.ping(conn)
+}
+
+// ping returns once the connection has ended or an answer stays out.
+func (h *Hub) ping(conn *jsonrpc2.Conn) {
+	ticker := time.NewTicker(pingPeriod)
+	defer ticker.Stop()
+	for {
+		ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), maxSilence)
+		var pong bool
+		err := conn.Call(ctx, "ping", envelope{From: h.name}, &pong)
+		cancel()
+		if err != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-conn.DisconnectNotify():
+			return
+		case <-h.tomb.Dying():
+			return
+		}
+	}
+}
+
+// silentLogger drops the library's lines; counters tell of broken links.
+type silentLogger struct{}
+
+func (silentLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/peer/network.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+)
+
+// Network opens connections; tests put their own in its place.
+type Network interface {
+	Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Listen(address netip.AddrPort) (net.Listener, error)
+}
+
+// TCP is the network of the machine.
+type TCP struct{}
+
+// Dial connects to an address.
+func (TCP) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
+// Listen opens an address for connections.
+func (TCP) Listen(address netip.AddrPort) (net.Listener, error) {
+	return net.Listen("tcp", address.String())
+}
+
+// quietConn fails a read once the other end has been silent for too long. Something between the
+// ends may have lost track of the connection without either end being told.
+type quietConn struct {
+	net.Conn
+	silence time.Duration
+}
+
+func (c quietConn) Read(buf []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(buf)
+}
+
+func (c quietConn) Write(buf []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(buf)
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,172 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagelink.example/lovagelink/internal/conf"
+)
+
+// maxResults bounds how many answers to operators are kept for resends.
+const maxResults = 4096
+
+// State is everything that the control log decides.
+type State struct {
+	Index     uint64               `json:"index"`
+	Digest    uint64               `json:"digest"` // of all commands so far
+	Version   uint64               `json:"version"`
+	Body      string               `json:"body"`
+	Hosts     map[string]*Host     `json:"hosts"`
+	Upstreams map[string]*Upstream `json:"upstreams"`
+	Tables    map[string]*Table    `json:"tables"`
+	Results   []Result             `json:"results"`
+
+	Config conf.Config `json:"-"`
+}
+
+// Host is an entry host as the leader sees it.
+type Host struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+	Up          bool   `json:"up"`
+}
+
+// Result is a kept answer to an operator.
+type Result struct {
+	RequestID string   `json:"request-id"`
+	Accepted  Accepted `json:"accepted"`
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		Hosts:     make(map[string]*Host),
+		Upstreams: make(map[string]*Upstream),
+		Tables:    make(map[string]*Table),
+	}
+}
+
+// Parse reads a state from its snapshot.
+func Parse(data []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("read state: %w", err)
+	}
+	if s.Body == "" {
+		return s, nil
+	}
+	config, err := conf.ParseConfig([]byte(s.Body))
+	if err != nil {
+		return nil, fmt.Errorf("read state: %w", err)
+	}
+	s.Config = config
+	return s, nil
+}
+
+// Apply carries out a command at a log position and returns its answer.
+func (s *State) Apply(index uint64, data []byte) []byte {
+	s.Index = index
+	s.Digest = chain(s.Digest, index, data)
+	var command Command
+	if err := json.Unmarshal(data, &command); err != nil {
+		return nil
+	}
+	switch {
+	case command.Accept != nil:
+		answer, _ := json.Marshal(s.accept(index, *command.Accept))
+		return answer
+	case command.Host != nil:
+		s.markHost(*command.Host)
+	case command.Join != nil:
+		s.join(command.Join.Upstream)
+	case command.Dispatch != nil:
+		s.dispatch(index, command.Dispatch)
+	case command.Lose != nil:
+		s.lose(index, *command.Lose)
+	case command.Drain != nil:
+		s.drain(command.Drain.Upstream)
+	case command.Leave != nil:
+		s.leave(command.Leave.Upstream)
+	case command.Move != nil:
+		s.move(command.Move)
+	case command.Assign != nil:
+		s.assign(index, command.Assign)
+	}
+	return nil
+}
+
+// accept takes a configuration on: of two operators with equal versions the first wins, and a
+// resend gets the first answer.
+func (s *State) accept(index uint64, args Accept) Accepted {
+	for _, result := range s.Results {
+		if result.RequestID == args.RequestID {
+			return result.Accepted
+		}
+	}
+	answer := s.tryAccept(args)
+	answer.Index = index
+	s.Results = append(s.Results, Result{RequestID: args.RequestID, Accepted: answer})
+	if over := len(s.Results) - maxResults; over > 0 {
+		s.Results = append([]Result(nil), s.Results[over:]...)
+	}
+	return answer
+}
+
+func (s *State) tryAccept(args Accept) Accepted {
+	if args.Expected != s.Version {
+		return Accepted{Version: s.Version, Refused: fmt.Sprintf(
+			"expected version %d but %d is accepted; look at what changed and accept again", args.Expected, s.Version)}
+	}
+	config, err := conf.ParseConfig([]byte(args.Body))
+	if err != nil {
+		return Accepted{Version: s.Version, Refused: err.Error()}
+	}
+	for _, service := range config.Services {
+		if table := s.Tables[service.Name]; table != nil && len(table.Slots) != service.Slots {
+			return Accepted{Version: s.Version, Refused: fmt.Sprintf(
+				"service %s has %d slots, which can't change; keep the number", service.Name, len(table.Slots))}
+		}
+	}
+	s.Version++
+	s.Body = args.Body
+	s.Config = config
+	s.fitTables()
+	return Accepted{Version: s.Version}
+}
+
+// fitTables adds tables for new services and drops those of services that are gone.
+func (s *State) fitTables() {
+	for _, service := range s.Config.Services {
+		if s.Tables[service.Name] == nil {
+			s.Tables[service.Name] = &Table{Slots: make([]Slot, service.Slots)}
+		}
+	}
+	for name := range s.Tables {
+		if s.Config.ServiceNamed(name) == nil {
+			delete(s.Tables, name)
+		}
+	}
+}
+
+func (s *State) markHost(mark HostMark) {
+	host := s.Hosts[mark.Name]
+	if !mark.Up {
+		if host != nil && host.Incarnation == mark.Incarnation {
+			host.Up = false
+		}
+		return
+	}
+	s.Hosts[mark.Name] = &Host{Name: mark.Name, Zone: mark.Zone, Incarnation: mark.Incarnation, Up: true}
+}
+
+// chain extends the digest by a command, so that copies which differ anywhere differ from then on.
+func chain(digest, index uint64, data []byte) uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	fmt.Fprintf(&hash, "%d %d ", digest, index)
+	_, _ = hash.Write(data)
+	return hash.Sum64()
+}
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -46,11 +46,6 @@
 	return q.length
 }
 
-// LenOf returns the number of waiting items of one rank.
-func (q *Queue[T]) LenOf(rank int) int {
-	return len(q.ranks[rank].items)
-}
-
 // Ahead returns how many items would start before a new one of this rank.
 func (q *Queue[T]) Ahead(rank int) int {
 	count := 0
@@ -122,29 +117,6 @@
 	return first
 }
 
-// Last returns the item that would start last among ranks less urgent than rank, or nil.
-func (q *Queue[T]) Last(rank int) *Item[T] {
-	for i := len(q.ranks) - 1; i > rank; i-- {
-		if items := q.ranks[i].items; len(items) > 0 {
-			return items[len(items)-1]
-		}
-	}
-	return nil
-}
-
-// Expired takes out the items whose deadline has passed.
-func (q *Queue[T]) Expired(now time.Time) []*Item[T] {
-	var expired []*Item[T]
-	for i := range q.ranks {
-		r := &q.ranks[i]
-		for len(r.items) > 0 && !now.Before(r.items[0].Deadline) {
-			expired = append(expired, heap.Pop(r).(*Item[T]))
-			q.length--
-		}
-	}
-	return expired
-}
-
 // Len, Less, Swap, Push and Pop order a rank by deadline, then by arrival.
 func (r *rank[T]) Len() int { return len(r.items) }
 
