--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the subcommands of the program.
+package cmds
--- /dev/null
+++ b/internal/cmds/operate.go
@@ -0,0 +1,304 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/conf"
+	"lovagelink.example/lovagelink/internal/ctrl"
+	"lovagelink.example/lovagelink/internal/demo"
+	"lovagelink.example/lovagelink/internal/entry"
+	"lovagelink.example/lovagelink/internal/event"
+	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/internal/upsim"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// defaultOperator is the operators' address of the first host that the settings command writes.
+const defaultOperator = "127.0.0.1:7002"
+
+var operatorClient = &http.Client{Timeout: 8 * time.Second}
+
+func parseAddresses(text string) ([]netip.AddrPort, error) {
+	var list []netip.AddrPort
+	for _, part := range strings.Split(text, ",") {
+		address, err := netip.ParseAddrPort(strings.TrimSpace(part))
+		if err != nil {
+			return nil, fmt.Errorf("%q is not IP:PORT", part)
+		}
+		list = append(list, address)
+	}
+	return list, nil
+}
+
+// ask calls an operators' address and decodes the answer.
+func ask(ctx context.Context, method, address, path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := operatorClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("no answer from %s: %w; name a running host's operators address with --at", address, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		var fault verd.Error
+		if err := json.NewDecoder(response.Body).Decode(&fault); err != nil {
+			return fmt.Errorf("%s answered with status %d", address, response.StatusCode)
+		}
+		return &fault
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+func configCommand() command {
+	var at, id string
+	var expected uint64
+	return command{
+		name:  "config",
+		short: "show the accepted configuration, check a file, or accept one",
+		usage: "config [--at IP:PORT] show | check FILE | accept --expected VERSION FILE",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&at, "at", defaultOperator, "operators' address of any host")
+			flags.Uint64Var(&expected, "expected", 0, "version that the change rests on")
+			flags.StringVar(&id, "request-id", "", "id of the change; the same one to resend it")
+		},
+		run: func(ctx context.Context, args []string, out io.Writer) error {
+			switch {
+			case len(args) == 1 && args[0] == "show":
+				return showConfig(ctx, at, out)
+			case len(args) == 2 && args[0] == "check":
+				_, err := readConfig(args[1])
+				return err
+			case len(args) == 2 && args[0] == "accept":
+				return acceptConfig(ctx, at, id, expected, args[1], out)
+			}
+			return usageError{"say show, check FILE or accept FILE"}
+		},
+	}
+}
+
+func showConfig(ctx context.Context, at string, out io.Writer) error {
+	var shown entry.Shown
+	if err := ask(ctx, http.MethodGet, at, "/config", nil, &shown); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "# version %d\n%s", shown.Version, shown.Body)
+	return nil
+}
+
+func readConfig(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	if _, err := conf.ParseConfig(data); err != nil {
+		return "", fmt.Errorf("%s: %w", path, err)
+	}
+	return string(data), nil
+}
+
+// acceptConfig accepts a file and waits until it is in force on every host that reports.
+func acceptConfig(ctx context.Context, at, id string, expected uint64, path string, out io.Writer) error {
+	body, err := readConfig(path)
+	if err != nil {
+		return err
+	}
+	if id == "" {
+		id = newID()
+	}
+	var accepted state.Accepted
+	args := state.Accept{RequestID: id, Expected: expected, Body: body}
+	if err := ask(ctx, http.MethodPost, at, "/config", args, &accepted); err != nil {
+		return fmt.Errorf("%w (request-id %s)", err, id)
+	}
+	fmt.Fprintf(out, "version %d is accepted\n", accepted.Version)
+	return awaitForce(ctx, at, accepted.Index, out)
+}
+
+func awaitForce(ctx context.Context, at string, index uint64, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	var behind []string
+	for ctx.Err() == nil {
+		var progress ctrl.Progress
+		if err := ask(ctx, http.MethodGet, at, "/progress", nil, &progress); err != nil {
+			return err
+		}
+		behind = behind[:0]
+		for host, reached := range progress.Hosts {
+			if reached < index {
+				behind = append(behind, host)
+			}
+		}
+		if len(behind) == 0 {
+			fmt.Fprintf(out, "in force on %d hosts\n", len(progress.Hosts))
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	slices.Sort(behind)
+	return fmt.Errorf("not yet in force on %s", strings.Join(behind, ", "))
+}
+
+func newID() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+func statusCommand() command {
+	var at string
+	return command{
+		name:  "status",
+		short: "show hosts, zones, leader and upstreams",
+		usage: "status [--at IP:PORT]",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&at, "at", defaultOperator, "operators' address of any host")
+		},
+		run: func(ctx context.Context, _ []string, out io.Writer) error {
+			var status entry.Status
+			if err := ask(ctx, http.MethodGet, at, "/status", nil, &status); err != nil {
+				return err
+			}
+			printStatus(out, status)
+			return nil
+		},
+	}
+}
+
+func printStatus(out io.Writer, status entry.Status) {
+	fmt.Fprintf(out, "as seen by %s in zone %s: configuration %d, log index %d, leader %s, %d slots without owner\n\n",
+		status.Host, status.Zone, status.Version, status.Index, status.Leader, status.Unowned)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "host\tzone\tup\t")
+	for _, name := range sorted(status.Hosts) {
+		host := status.Hosts[name]
+		fmt.Fprintf(table, "%s\t%s\t%v\t\n", name, host.Zone, host.Up)
+	}
+	fmt.Fprintln(table, "\t\t\t")
+	fmt.Fprintln(table, "upstream\tzone\tphase\tdispatcher\tslots owned\t")
+	for _, id := range sorted(status.Upstreams) {
+		u := status.Upstreams[id]
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t\n", id, u.Zone, u.Phase, u.Host, status.Owned[id])
+	}
+	_ = table.Flush()
+}
+
+func sorted[V any](m map[string]V) []string {
+	var keys []string
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func timelineCommand() command {
+	var at, kind string
+	return command{
+		name:  "timeline",
+		short: "show the events of all hosts in one order",
+		usage: "timeline --at IP:PORT,... [--kind KIND]",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&at, "at", defaultOperator, "operators' addresses of the hosts, separated by commas")
+			flags.StringVar(&kind, "kind", "", "only events whose kind starts so")
+		},
+		run: func(ctx context.Context, _ []string, out io.Writer) error {
+			var lines [][]event.Event
+			for _, address := range strings.Split(at, ",") {
+				var line []event.Event
+				if err := ask(ctx, http.MethodGet, address, "/timeline", nil, &line); err != nil {
+					return err
+				}
+				lines = append(lines, line)
+			}
+			printTimeline(out, event.Merge(lines...), kind)
+			return nil
+		},
+	}
+}
+
+func printTimeline(out io.Writer, events []event.Event, kind string) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, one := range events {
+		if strings.HasPrefix(one.Kind, kind) {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t\n",
+				one.Stamp.Wall.UTC().Format("15:04:05.000"), one.Host, one.Kind, one.Subject, one.Detail)
+		}
+	}
+	_ = table.Flush()
+}
+
+func loadCommand() command {
+	var shape, entries, ledgers string
+	var settings load.Settings
+	return command{
+		name:  "load",
+		short: "drive callers at a fixed rate and check every answer",
+		usage: "load --shape gauteng|kingston --entries IP:PORT,... [--ledgers IP:PORT,...]",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&shape, "shape", "gauteng", "whose work to send")
+			flags.StringVar(&entries, "entries", "", "callers' addresses of entry hosts, separated by commas")
+			flags.StringVar(&ledgers, "ledgers", "", "addresses of stand-in upstreams whose ledgers are compared")
+			flags.Float64Var(&settings.Rate, "rate", 200, "requests a second")
+			flags.DurationVar(&settings.Period, "period", 10*time.Second, "how long")
+			flags.Uint64Var(&settings.Seed, "seed", uint64(time.Now().UnixNano()), "seed of keys and calls, part of request ids")
+		},
+		run: func(ctx context.Context, _ []string, out io.Writer) error {
+			var err error
+			if settings.Shape, err = load.ShapeNamed(shape); err != nil {
+				return usageError{err.Error()}
+			}
+			if settings.Entries, err = parseAddresses(entries); err != nil {
+				return usageError{"--entries: " + err.Error()}
+			}
+			return runLoad(ctx, settings, ledgers, out)
+		},
+	}
+}
+
+func runLoad(ctx context.Context, settings load.Settings, ledgers string, out io.Writer) error {
+	if settings.Rate <= 0 {
+		return usageError{"--rate must be above 0"}
+	}
+	result := load.New(settings, peer.TCP{}).Run(ctx)
+	demo.Print(out, result)
+	if ledgers == "" {
+		fmt.Fprintln(out, "no --ledgers were named, so doubles and owners were not checked")
+		return nil
+	}
+	var runs []upsim.Run
+	for _, address := range strings.Split(ledgers, ",") {
+		var part []upsim.Run
+		if err := ask(ctx, http.MethodGet, address, "/lovagelink/ledger", nil, &part); err != nil {
+			return errors.Join(errors.New("ledger of "+address), err)
+		}
+		runs = append(runs, part...)
+	}
+	if !demo.PrintVerdict(out, result.Judge(runs)) {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmds/serve.go
@@ -0,0 +1,178 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/goccy/go-yaml"
+
+	"lovagelink.example/lovagelink/internal/conf"
+	"lovagelink.example/lovagelink/internal/entry"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/upsim"
+)
+
+// usageError is a mistake in how a subcommand was called.
+type usageError struct{ text string }
+
+func (e usageError) Error() string { return e.text }
+
+func isUsage(err error) bool {
+	var usage usageError
+	return errors.As(err, &usage)
+}
+
+func newLogger() log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	return log.With(logger, "time", log.DefaultTimestampUTC)
+}
+
+func entryCommand() command {
+	var path string
+	return command{
+		name:  "entry",
+		short: "run an entry host",
+		usage: "entry --settings FILE",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&path, "settings", "", "file with the settings of this host")
+		},
+		run: func(ctx context.Context, _ []string, _ io.Writer) error {
+			if path == "" {
+				return usageError{"--settings is missing; name the file with this host's settings"}
+			}
+			return runEntry(ctx, path)
+		},
+	}
+}
+
+func runEntry(ctx context.Context, path string) error {
+	settings, err := conf.LoadHost(path)
+	if err != nil {
+		return err
+	}
+	host, err := entry.New(time.Now(), settings, peer.TCP{}, newLogger())
+	if err != nil {
+		return err
+	}
+	if err := host.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	host.Stop(context.Background())
+	return nil
+}
+
+func upstreamCommand() command {
+	var s upsim.Settings
+	var address, entries string
+	return command{
+		name:  "upstream",
+		short: "run a stand-in upstream",
+		usage: "upstream --id ID --service NAME --zone ZONE --address IP:PORT --entries IP:PORT,...",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&s.ID, "id", "", "name of the upstream")
+			flags.StringVar(&s.Service, "service", "", "service that it serves")
+			flags.StringVar(&s.Zone, "zone", "", "availability zone")
+			flags.StringVar(&address, "address", "", "where it listens")
+			flags.StringVar(&entries, "entries", "", "upstreams' addresses of entry hosts, separated by commas")
+			flags.IntVar(&s.Slots, "slots", 2, "requests that it works on at a time")
+			flags.IntVar(&s.Connections, "connections", 120, "connections that it takes")
+			flags.BoolVar(&s.Checks, "checks", true, "refuse orders without a valid grant")
+			flags.BoolVar(&s.Keyed, "keyed", true, "the service is divided by key")
+			flags.DurationVar(&s.Work, "work", 20*time.Millisecond, "time of one piece of work")
+			flags.DurationVar(&s.Cold, "cold", 0, "time after the start in which work takes longer")
+			flags.IntVar(&s.ShedAbove, "shed-above", 0, "requests at a time above which work is refused; 0 is never")
+			flags.IntVar(&s.AnswerBytes, "answer-bytes", 2048, "size of an answer")
+		},
+		run: func(ctx context.Context, _ []string, _ io.Writer) error {
+			var err error
+			if s.Address, err = netip.ParseAddrPort(address); err != nil {
+				return usageError{fmt.Sprintf("--address %q is not IP:PORT", address)}
+			}
+			if s.Entries, err = parseAddresses(entries); err != nil {
+				return usageError{"--entries: " + err.Error()}
+			}
+			return runUpstream(ctx, s)
+		},
+	}
+}
+
+func runUpstream(ctx context.Context, settings upsim.Settings) error {
+	if settings.ID == "" || settings.Service == "" || settings.Zone == "" {
+		return usageError{"--id, --service and --zone are needed"}
+	}
+	upstream := upsim.New(time.Now(), settings, peer.TCP{}, &upsim.Ledger{})
+	if err := upstream.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	upstream.Kill()
+	return nil
+}
+
+func settingsCommand() command {
+	var folder string
+	var hosts, zones, port int
+	return command{
+		name:  "settings",
+		short: "write the settings of entry hosts on loopback addresses",
+		usage: "settings --folder DIR [--hosts N] [--zones N] [--port P]",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&folder, "folder", "run", "where the files go")
+			flags.IntVar(&hosts, "hosts", 10, "number of entry hosts")
+			flags.IntVar(&zones, "zones", 3, "number of zones; the first host of each holds a replica")
+			flags.IntVar(&port, "port", 7000, "first port")
+		},
+		run: func(_ context.Context, _ []string, out io.Writer) error {
+			if zones%2 == 0 || hosts < zones {
+				return usageError{"--zones must be odd and no more than --hosts"}
+			}
+			return writeSettings(out, folder, hosts, zones, port)
+		},
+	}
+}
+
+// writeSettings gives host i the ports from port+10i on.
+func writeSettings(out io.Writer, folder string, hosts, zones, port int) error {
+	at := func(i, offset int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port+10*i+offset))
+	}
+	var peers []conf.Peer
+	for i := range hosts {
+		zone := string(rune('a' + i%zones))
+		peers = append(peers, conf.Peer{
+			Name: fmt.Sprintf("%s%d", zone, i/zones+1), Zone: zone, Address: at(i, 3), Replica: i < zones,
+		})
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	for i, one := range peers {
+		settings := conf.Host{
+			Name: one.Name, Zone: one.Zone, Hosts: peers,
+			Callers: at(i, 0), Upstreams: at(i, 1), Operators: at(i, 2),
+		}
+		if one.Replica {
+			settings.DataFolder = filepath.Join(folder, "data-"+one.Name)
+		}
+		data, err := yaml.Marshal(settings)
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(folder, one.Name+".yaml")
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "%s: zone %s, callers %s, upstreams %s, operators %s\n",
+			path, one.Zone, settings.Callers, settings.Upstreams, settings.Operators)
+	}
+	return nil
+}
--- a/internal/ctrl/lease.go
+++ b/internal/ctrl/lease.go
@@ -25,14 +25,10 @@
 	return l
 }
 
-// renew extends the lease of a host; it refuses a host that is being marked down.
+// renew extends the lease of a host; it refuses one that is being marked down.
 func (l *leases) renew(now time.Time, name, incarnation string) bool {
 	h := l.hosts[name]
-	if h == nil || h.incarnation != incarnation {
-		l.hosts[name] = &holding{incarnation: incarnation, ends: now.Add(HostLease)}
-		return true
-	}
-	if h.condemned {
+	if h == nil || h.incarnation != incarnation || h.condemned {
 		return false
 	}
 	h.ends = now.Add(HostLease)
@@ -53,7 +49,7 @@
 	return true
 }
 
-// forget drops a host that is marked down, so that it can come back.
-func (l *leases) forget(name string) {
-	delete(l.hosts, name)
+// welcome opens the record of a host that is being marked up.
+func (l *leases) welcome(now time.Time, name, incarnation string) {
+	l.hosts[name] = &holding{incarnation: incarnation, ends: now.Add(HostLease)}
 }
--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -46,7 +46,7 @@
 		if known != nil && known.Up && known.Incarnation == report.incarnation {
 			continue
 		}
-		l.leases.forget(name)
+		l.leases.welcome(now, name, report.incarnation)
 		commands = append(commands, state.Command{Host: &state.HostMark{
 			Name: name, Zone: report.zone, Incarnation: report.incarnation, Up: true,
 		}})
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,125 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lovagelink.example/lovagelink/examples"
+	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/peer"
+)
+
+// Figures of the demo.
+const (
+	demoRate   = 400 // requests a second
+	demoPeriod = 9 * time.Second
+	demoReady  = 15 * time.Second
+	lossAfter  = 2 * time.Second
+	drainAfter = 4 * time.Second
+	stopAfter  = 6 * time.Second
+	lostOne    = "plan-03"
+	drainedOne = "plan-07"
+)
+
+// GautengGroups are the upstreams of the Hanging Office.
+func GautengGroups() []Group {
+	return []Group{
+		{Service: "plan", Count: 25, Slots: 2, Keyed: true, Work: 20 * time.Millisecond},
+		{Service: "commission", Count: 5, Slots: 2, Work: 20 * time.Millisecond},
+	}
+}
+
+// KingstonGroups are the upstreams of the Window Services Authority.
+func KingstonGroups() []Group {
+	return []Group{
+		{Service: "rounds", Count: 30, Slots: 6, Keyed: true, Work: 20 * time.Millisecond},
+		{Service: "billing", Count: 5, Slots: 6, Work: 20 * time.Millisecond},
+	}
+}
+
+// Run starts a deployment, loads it while upstreams and a host come and go, and prints what was
+// served. It returns whether every promise was kept.
+func Run(ctx context.Context, out io.Writer) (bool, error) {
+	folder, err := TempFolder()
+	if err != nil {
+		return false, err
+	}
+	defer os.RemoveAll(folder)
+	fleet, err := Build(time.Now(), Plan{
+		Zones: []string{"a", "b", "c"}, Hosts: 10, Groups: GautengGroups(), Folder: folder,
+		Checks: true, Address: Loopback(),
+	}, peer.TCP{}, log.NewNopLogger())
+	if err != nil {
+		return false, err
+	}
+	defer fleet.Stop()
+	ready, cancel := context.WithTimeout(ctx, demoReady)
+	defer cancel()
+	fmt.Fprintln(out, "starting 10 entry hosts in 3 zones, 25 plan and 5 commission upstreams")
+	if err := fleet.Start(ready, examples.Gauteng); err != nil {
+		return false, err
+	}
+	fmt.Fprintf(out, "load: %d requests a second for %s; on the way %s is lost, %s drains, host a2 stops\n\n",
+		demoRate, demoPeriod, lostOne, drainedOne)
+	go disturb(ctx, fleet)
+	runner := load.New(load.Settings{
+		Shape: load.Gauteng(), Rate: demoRate, Period: demoPeriod, Entries: fleet.Entries(), Seed: 1,
+	}, peer.TCP{})
+	result := runner.Run(ctx)
+	Print(out, result)
+	return PrintVerdict(out, result.Judge(fleet.Ledger.Runs())), nil
+}
+
+// disturb loses one upstream, drains one and stops one host.
+func disturb(ctx context.Context, fleet *Fleet) {
+	began := time.Now()
+	wait := func(period time.Duration) {
+		timer := time.NewTimer(time.Until(began.Add(period)))
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	wait(lossAfter)
+	fleet.Upstream(lostOne).Kill()
+	wait(drainAfter)
+	fleet.Upstream(drainedOne).Drain()
+	wait(stopAfter)
+	fleet.Hosts[3].Stop(ctx)
+}
+
+// Print writes the table of a load run.
+func Print(out io.Writer, result *load.Result) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "call\tsent\tserved\ton target\trefused\tunknown\tresent\tp50\tp99\t")
+	for _, tally := range result.Tallies {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t\n", tally.Call.Name, tally.Sent, tally.Served,
+			tally.OnTarget, tally.Refused, tally.Unknown, tally.Resent,
+			tally.Percentile(50).Round(100*time.Microsecond), tally.Percentile(99).Round(100*time.Microsecond))
+	}
+	_ = table.Flush()
+	served, asked := result.Worth()
+	fmt.Fprintf(out, "\nworth served on target: %.1f %%\n", 100*served/max(asked, 1))
+}
+
+// PrintVerdict writes the last line and returns whether every promise was kept.
+func PrintVerdict(out io.Writer, verdict load.Verdict) bool {
+	word := "ok"
+	if !verdict.OK() {
+		word = "failed"
+	}
+	more := ""
+	if verdict.Crossed+verdict.FalseRan > 0 {
+		more = fmt.Sprintf(" crossed=%d false-ran=%d", verdict.Crossed, verdict.FalseRan)
+	}
+	fmt.Fprintf(out, "verdict: %s requests=%d doubled=%d two-owners=%d truncated=%d false-not-run=%d%s\n",
+		word, verdict.Requests, verdict.Doubled, verdict.TwoOwners, verdict.Truncated, verdict.FalseNotRun, more)
+	return verdict.OK()
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,231 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lovagelink.example/lovagelink/internal/conf"
+	"lovagelink.example/lovagelink/internal/entry"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/internal/upsim"
+)
+
+// Group is a number of alike upstreams.
+type Group struct {
+	Service string
+	Count   int
+	Slots   int
+	Keyed   bool
+	Work    time.Duration
+}
+
+// Plan describes a deployment.
+type Plan struct {
+	Zones   []string
+	Hosts   int // spread over the zones in turn
+	Groups  []Group
+	Config  string
+	Folder  string
+	Checks  bool
+	Address func() (netip.AddrPort, error) // the next free address
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Hosts     []*entry.Host
+	Settings  []conf.Host
+	Upstreams []*upsim.Upstream
+	IDs       []string // of the upstreams
+	Ledger    *upsim.Ledger
+	network   peer.Network
+	logger    log.Logger
+}
+
+// Build lays a deployment out; Start sets it to work.
+func Build(now time.Time, plan Plan, network peer.Network, logger log.Logger) (*Fleet, error) {
+	f := &Fleet{Ledger: &upsim.Ledger{}, network: network, logger: logger}
+	if err := f.layOut(plan); err != nil {
+		return nil, err
+	}
+	for _, settings := range f.Settings {
+		host, err := entry.New(now, settings, network, logger)
+		if err != nil {
+			return nil, err
+		}
+		f.Hosts = append(f.Hosts, host)
+	}
+	return f, f.addUpstreams(now, plan)
+}
+
+// layOut writes the settings of all hosts; the first host of each zone holds a replica.
+func (f *Fleet) layOut(plan Plan) error {
+	var peers []conf.Peer
+	for i := range plan.Hosts {
+		address, err := plan.Address()
+		if err != nil {
+			return err
+		}
+		zone := plan.Zones[i%len(plan.Zones)]
+		peers = append(peers, conf.Peer{
+			Name: fmt.Sprintf("%s%d", zone, i/len(plan.Zones)+1), Zone: zone, Address: address,
+			Replica: i < len(plan.Zones),
+		})
+	}
+	for _, one := range peers {
+		settings := conf.Host{Name: one.Name, Zone: one.Zone, Hosts: peers}
+		for _, address := range []*netip.AddrPort{&settings.Callers, &settings.Upstreams, &settings.Operators} {
+			next, err := plan.Address()
+			if err != nil {
+				return err
+			}
+			*address = next
+		}
+		if one.Replica {
+			settings.DataFolder = filepath.Join(plan.Folder, one.Name)
+		}
+		f.Settings = append(f.Settings, settings)
+	}
+	return nil
+}
+
+func (f *Fleet) addUpstreams(now time.Time, plan Plan) error {
+	for _, group := range plan.Groups {
+		for i := range group.Count {
+			address, err := plan.Address()
+			if err != nil {
+				return err
+			}
+			zone := plan.Zones[i%len(plan.Zones)]
+			settings := upsim.Settings{
+				ID: fmt.Sprintf("%s-%02d", group.Service, i+1), Service: group.Service, Zone: zone,
+				Address: address, Slots: group.Slots, Connections: 120, Checks: plan.Checks,
+				Keyed: group.Keyed, Work: group.Work, AnswerBytes: 2048, Entries: f.doors(zone),
+			}
+			f.IDs = append(f.IDs, settings.ID)
+			f.Upstreams = append(f.Upstreams, upsim.New(now, settings, f.network, f.Ledger))
+		}
+	}
+	return nil
+}
+
+// doors lists the addresses for upstreams in a zone.
+func (f *Fleet) doors(zone string) []netip.AddrPort {
+	var doors []netip.AddrPort
+	for _, settings := range f.Settings {
+		if settings.Zone == zone {
+			doors = append(doors, settings.Upstreams)
+		}
+	}
+	return doors
+}
+
+// Entries lists the addresses for callers.
+func (f *Fleet) Entries() []netip.AddrPort {
+	var entries []netip.AddrPort
+	for _, settings := range f.Settings {
+		entries = append(entries, settings.Callers)
+	}
+	return entries
+}
+
+// Start starts the hosts, accepts the configuration, starts the upstreams and waits until every
+// slot has an owner.
+func (f *Fleet) Start(ctx context.Context, config string) error {
+	for _, host := range f.Hosts {
+		if err := host.Start(); err != nil {
+			return err
+		}
+	}
+	if err := f.accept(ctx, config); err != nil {
+		return err
+	}
+	for _, upstream := range f.Upstreams {
+		if err := upstream.Start(); err != nil {
+			return err
+		}
+	}
+	return f.await(ctx, func(status entry.Status) bool {
+		return status.Unowned == 0 && len(status.Owned) == len(f.Upstreams)
+	})
+}
+
+func (f *Fleet) accept(ctx context.Context, config string) error {
+	accepted, err := f.Hosts[0].Accept(ctx, state.Accept{RequestID: "first", Body: config})
+	if err != nil {
+		return err
+	}
+	if accepted.Refused != "" {
+		return errors.New(accepted.Refused)
+	}
+	return f.await(ctx, func(status entry.Status) bool { return status.Version == accepted.Version })
+}
+
+// await waits until all hosts meet a condition.
+func (f *Fleet) await(ctx context.Context, isMet func(entry.Status) bool) error {
+	for _, host := range f.Hosts {
+		for !isMet(host.Status(time.Now())) {
+			timer := time.NewTimer(20 * time.Millisecond)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				text, _ := json.Marshal(host.Status(time.Now()))
+				return fmt.Errorf("host is not ready: %s: %w", text, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// Upstream returns an upstream by its id.
+func (f *Fleet) Upstream(id string) *upsim.Upstream {
+	for i, name := range f.IDs {
+		if name == id {
+			return f.Upstreams[i]
+		}
+	}
+	return nil
+}
+
+// Stop ends everything.
+func (f *Fleet) Stop() {
+	for _, upstream := range f.Upstreams {
+		upstream.Kill()
+	}
+	for _, host := range f.Hosts {
+		host.Kill()
+	}
+}
+
+// firstPort lies below the range from which the system takes the ports of outgoing connections.
+const firstPort = 17000
+
+// Loopback returns a function that hands out addresses on loopback that nobody listens on.
+func Loopback() func() (netip.AddrPort, error) {
+	port := uint16(firstPort)
+	return func() (netip.AddrPort, error) {
+		for ; port < 2*firstPort; port++ {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+			listener, err := peer.TCP{}.Listen(address)
+			if err != nil {
+				continue
+			}
+			port++
+			return address, listener.Close()
+		}
+		return netip.AddrPort{}, errors.New("no free port on loopback")
+	}
+}
+
+// TempFolder returns a new folder for the replicas' data.
+func TempFolder() (string, error) {
+	return os.MkdirTemp("", "lovagelink-demo-")
+}
--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -171,3 +171,10 @@
 	defer b.mu.Unlock()
 	return len(b.records)
 }
+
+// Knows reports whether the book has a record of a request.
+func (b *Book) Knows(service, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.records[noteKey{service, id}] != nil
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/disp"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Periods of forwarding.
+const (
+	retryPause  = 10 * time.Millisecond // doubles with each retry
+	maxPause    = 160 * time.Millisecond
+	replyMargin = 20 * time.Millisecond // for a dispatcher's refusal to come before the deadline
+	askTimeout  = 200 * time.Millisecond
+)
+
+// forward brings a request to the dispatcher of its slot's owner, again and again within its
+// deadline as long as it is sure that it did not run or may run twice.
+func (h *Host) forward(ctx context.Context, p *parsed) disp.Outcome {
+	ctx, cancel := context.WithDeadline(ctx, p.deadline)
+	defer cancel()
+	h.retries.earn()
+	pause := retryPause
+	mayHaveRun := false
+	for {
+		changed := h.feed.Changed()
+		outcome := h.try(ctx, p)
+		if !outcome.Retry || !h.mayRetry(outcome) {
+			return final(outcome, mayHaveRun)
+		}
+		mayHaveRun = mayHaveRun || outcome.Verdict == verd.MayHaveRun
+		if !awaitRetry(ctx, changed, pause) {
+			return h.giveUp(p, outcome, mayHaveRun)
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// mayRetry charges retries of what has reached an upstream to the budget.
+func (h *Host) mayRetry(outcome disp.Outcome) bool {
+	if outcome.Verdict == verd.NotRun && outcome.Header == nil {
+		return true
+	}
+	return h.retries.spend()
+}
+
+// final keeps an outcome from claiming more than all attempts together allow.
+func final(outcome disp.Outcome, mayHaveRun bool) disp.Outcome {
+	if mayHaveRun && outcome.Verdict == verd.NotRun {
+		outcome.Verdict = verd.MayHaveRun
+	}
+	return outcome
+}
+
+func awaitRetry(ctx context.Context, changed <-chan struct{}, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return ctx.Err() == nil
+}
+
+// giveUp answers when the time is over. The last refusal tells only of this request; for one that
+// the caller may have sent before, the other hosts are asked.
+func (h *Host) giveUp(p *parsed, outcome disp.Outcome, mayHaveRun bool) disp.Outcome {
+	outcome.Status = http.StatusServiceUnavailable
+	outcome.RetryAfter = time.Second
+	if !p.Idempotent && !p.isFirst && !mayHaveRun {
+		mayHaveRun = h.hasTrace(p)
+	}
+	return final(outcome, mayHaveRun)
+}
+
+// try makes one attempt.
+func (h *Host) try(ctx context.Context, p *parsed) disp.Outcome {
+	upstream, host := h.lookup(p.Service, p.Slot)
+	if host == "" {
+		return disp.Outcome{
+			Verdict: verd.NotRun, Status: http.StatusServiceUnavailable, Retry: true,
+			Reason: "no upstream serves the key at present",
+		}
+	}
+	r := p.Request
+	r.Upstream = upstream
+	r.Token = newToken()
+	r.Left = time.Until(p.deadline) - replyMargin
+	h.attempts.open(r.Token)
+	if host == h.settings.Name {
+		outcome := h.disps.Run(ctx, r)
+		h.attempts.withdraw(r.Token)
+		return outcome
+	}
+	return h.tryRemote(ctx, p, host, r)
+}
+
+// tryRemote makes an attempt through another host's dispatcher.
+func (h *Host) tryRemote(ctx context.Context, p *parsed, host string, r disp.Request) disp.Outcome {
+	h.stats.Forwarded.Add(1)
+	outcome, err := peer.Call[disp.Outcome](ctx, h.hub, host, "run", r)
+	started := h.attempts.withdraw(r.Token)
+	if err == nil {
+		if started {
+			h.noteOutcome(r, outcome)
+		}
+		return outcome
+	}
+	_ = h.hub.Notify(context.WithoutCancel(ctx), host, "cancel", r.Token)
+	switch {
+	case r.Idempotent:
+		return disp.Outcome{
+			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
+			Reason: "the link to the dispatcher was lost",
+		}
+	case started:
+		p.Started = true
+		return disp.Outcome{
+			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
+			Reason: "the link to the dispatcher was lost after the request was sent",
+		}
+	}
+	return disp.Outcome{
+		Verdict: verd.NotRun, Status: http.StatusServiceUnavailable, Retry: true,
+		Reason: "the dispatcher could not be reached",
+	}
+}
+
+// lookup returns the owner of a slot and the host that dispatches for it.
+func (h *Host) lookup(service string, slot int) (upstream, host string) {
+	h.feed.Read(func(s *state.State) {
+		table := s.Tables[service]
+		if table == nil || slot >= len(table.Slots) {
+			return
+		}
+		u := s.Upstreams[table.Slots[slot].Owner]
+		if u == nil {
+			return
+		}
+		upstream, host = u.ID, u.Host
+	})
+	return upstream, host
+}
+
+// newToken returns a name that no other attempt has.
+func newToken() string {
+	var raw [12]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
--- /dev/null
+++ b/internal/entry/front.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagelink.example/lovagelink/internal/conf"
+	"lovagelink.example/lovagelink/internal/disp"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/internal/upapi"
+	"lovagelink.example/lovagelink/pkg/place"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Headers between callers and entry hosts.
+const (
+	headerAttempt  = "Request-Attempt" // 1 for the first time that a request is sent
+	headerRepeated = "Lovagelink-Repeated"
+	headerReason   = "Lovagelink-Reason"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// parsed is a caller's request with what the configuration says of it.
+type parsed struct {
+	disp.Request
+	isFirst  bool // the caller says that it has not sent the request before
+	deadline time.Time
+}
+
+// ServeHTTP answers a caller.
+func (h *Host) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	h.stats.Requests.Add(1)
+	now := time.Now()
+	p, fault := h.parse(now, request)
+	if fault == nil {
+		fault = readBody(w, request, p)
+	}
+	if fault != nil {
+		h.stats.Faulty.Add(1)
+		writeFault(w, fault)
+		return
+	}
+	outcome := h.forward(request.Context(), p)
+	h.stats.count(outcome.Verdict)
+	writeOutcome(w, p, outcome)
+}
+
+// parse finds the service, rule and key of a request; what the caller claims of rank is not read.
+func (h *Host) parse(now time.Time, request *http.Request) (*parsed, *verd.Error) {
+	var p *parsed
+	var fault *verd.Error
+	h.feed.Read(func(s *state.State) { p, fault = parseWith(now, s, request) })
+	if p != nil {
+		p.Origin = h.settings.Name
+	}
+	return p, fault
+}
+
+func parseWith(now time.Time, s *state.State, request *http.Request) (*parsed, *verd.Error) {
+	if s.Version == 0 {
+		return nil, notRun(http.StatusServiceUnavailable, "configuration", "none is accepted yet",
+			"accept one with lovagelink config accept")
+	}
+	service := s.Config.Route(request.URL.Path)
+	if service == nil {
+		return nil, notRun(http.StatusNotFound, "path "+request.URL.Path, "no service has this route", "check the path")
+	}
+	rule := service.RuleFor(request.Method)
+	if rule == nil {
+		return nil, notRun(http.StatusMethodNotAllowed, "method "+request.Method,
+			"service "+service.Name+" has no rule for it", "use one of its methods")
+	}
+	id := request.Header.Get(upapi.HeaderRequestID)
+	if id == "" && !rule.Idempotent {
+		return nil, notRun(http.StatusBadRequest, "header "+upapi.HeaderRequestID, "it is missing",
+			"send an id of your own, and the same one when you send the request again")
+	}
+	if id == "" {
+		id = newToken()
+	}
+	key, fault := keyOf(service, rule, request, id)
+	if fault != nil {
+		return nil, fault
+	}
+	p := &parsed{isFirst: request.Header.Get(headerAttempt) == "1", deadline: now.Add(rule.Deadline)}
+	p.Request = disp.Request{
+		Service: service.Name, Key: key, Slot: place.Slot(key, service.Slots), ID: id,
+		Method: request.Method, Path: request.URL.RequestURI(), Header: passedOn(request.Header),
+		Rank: s.Config.RankOf(rule.Rank), Idempotent: rule.Idempotent, Resend: !p.isFirst,
+	}
+	return p, checkLength(service, request)
+}
+
+// keyOf returns the key that decides on the slot. Exclusive work of a service without keys goes by
+// its request id, so that a resend meets the first attempt; other work goes anywhere.
+func keyOf(service *conf.Service, rule *conf.Rule, request *http.Request, id string) (string, *verd.Error) {
+	switch {
+	case service.Key == nil && rule.Idempotent:
+		return strconv.FormatUint(rand.Uint64(), 16), nil
+	case service.Key == nil:
+		return id, nil
+	case service.Key.Header != "":
+		if key := request.Header.Get(service.Key.Header); key != "" {
+			return key, nil
+		}
+		return "", notRun(http.StatusBadRequest, "header "+service.Key.Header, "the key is missing", "send it")
+	}
+	segments := strings.Split(strings.Trim(request.URL.Path, "/"), "/")
+	if len(segments) < service.Key.Segment || segments[service.Key.Segment-1] == "" {
+		return "", notRun(http.StatusBadRequest, "path "+request.URL.Path,
+			fmt.Sprintf("the key is missing at segment %d", service.Key.Segment), "add it to the path")
+	}
+	return segments[service.Key.Segment-1], nil
+}
+
+// checkLength refuses a body that says it is too long before any of it is read.
+func checkLength(service *conf.Service, request *http.Request) *verd.Error {
+	if request.ContentLength > service.BodyLimit {
+		return tooLong(service.BodyLimit)
+	}
+	request.Body = http.MaxBytesReader(nil, request.Body, service.BodyLimit)
+	return nil
+}
+
+func tooLong(limit int64) *verd.Error {
+	return notRun(http.StatusRequestEntityTooLarge, "body", fmt.Sprintf("it is longer than %d bytes", limit),
+		"send less, or raise the body-limit of the service")
+}
+
+// readBody reads the whole body and takes its fingerprint.
+func readBody(w http.ResponseWriter, request *http.Request, p *parsed) *verd.Error {
+	body, err := io.ReadAll(request.Body)
+	if limit, ok := err.(*http.MaxBytesError); ok {
+		w.Header().Set("Connection", "close")
+		return tooLong(limit.Limit)
+	}
+	if err != nil {
+		return notRun(http.StatusBadRequest, "body", "it ended early", "send it again")
+	}
+	p.Body = body
+	var hash xxhash.Digest
+	hash.Reset()
+	fmt.Fprintf(&hash, "%s %s\n", p.Method, p.Path)
+	_, _ = hash.Write(body)
+	p.Print = hash.Sum64()
+	return nil
+}
+
+// passedOn copies the headers that go with the request beyond this hop.
+func passedOn(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, name := range strings.Split(header.Get("Connection"), ",") {
+		copied.Del(strings.TrimSpace(name))
+	}
+	for _, name := range hopHeaders {
+		copied.Del(name)
+	}
+	for name := range copied {
+		if strings.HasPrefix(name, "Lovagelink-") || name == headerAttempt {
+			copied.Del(name)
+		}
+	}
+	return copied
+}
+
+func notRun(status int, place, reason, remedy string) *verd.Error {
+	return &verd.Error{Verdict: verd.NotRun, Status: status, Place: place, Reason: reason, Remedy: remedy}
+}
+
+func writeFault(w http.ResponseWriter, fault *verd.Error) {
+	w.Header().Set(verd.Header, fault.Verdict.String())
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(fault.Status)
+	_ = json.NewEncoder(w).Encode(fault)
+}
+
+// writeOutcome answers with the upstream's answer, or says why there is none.
+func writeOutcome(w http.ResponseWriter, p *parsed, outcome disp.Outcome) {
+	header := w.Header()
+	if outcome.Verdict != verd.Ran {
+		if outcome.RetryAfter > 0 {
+			seconds := int(outcome.RetryAfter.Seconds()) + 1
+			header.Set("Retry-After", strconv.Itoa(seconds))
+		}
+		header.Set(headerReason, oneLine(outcome.Reason))
+		header.Set(upapi.HeaderRequestID, p.ID)
+		writeFault(w, &verd.Error{
+			Verdict: outcome.Verdict, Status: outcome.Status,
+			Place: "service " + p.Service, Reason: outcome.Reason,
+		})
+		return
+	}
+	for name, values := range passedOn(outcome.Header) {
+		header[name] = values
+	}
+	header.Set(upapi.HeaderRequestID, p.ID)
+	header.Set(verd.Header, outcome.Verdict.String())
+	header.Set("Content-Length", strconv.Itoa(len(outcome.Body)))
+	if outcome.Repeated {
+		header.Set(headerRepeated, "true")
+	}
+	w.WriteHeader(outcome.Status)
+	_, _ = w.Write(outcome.Body)
+}
+
+func oneLine(text string) string {
+	return strings.Join(strings.Fields(text), " ")
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,296 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/gravitational/trace"
+	"goji.io"
+	"goji.io/pat"
+	"gopkg.in/tomb.v2"
+
+	"lovagelink.example/lovagelink/internal/conf"
+	"lovagelink.example/lovagelink/internal/ctrl"
+	"lovagelink.example/lovagelink/internal/disp"
+	"lovagelink.example/lovagelink/internal/event"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/paxos"
+)
+
+// stopPatience bounds how long a stopping host waits for its requests to end.
+const stopPatience = 15 * time.Second
+
+// headerTimeout bounds how long a connection may take to send the head of a request.
+const headerTimeout = 10 * time.Second
+
+// Host is one entry host.
+type Host struct {
+	settings conf.Host
+	network  peer.Network
+	logger   log.Logger
+	zones    map[string]string
+	line     *event.Line
+	hub      *peer.Hub
+	feed     *state.Feed
+	leader   *ctrl.Leader // nil without a replica
+	client   *ctrl.Client
+	book     *disp.Book
+	disps    *disp.Set
+	attempts *attempts
+	running  *running
+	retries  *budget
+	heard    *heard
+	stats    Stats
+	dispatch disp.Stats
+	servers  []*http.Server
+	tomb     tomb.Tomb
+	leaving  chan struct{}
+}
+
+// New returns the host that the settings describe; Start sets it to work.
+func New(now time.Time, settings conf.Host, network peer.Network, logger log.Logger) (*Host, error) {
+	if err := settings.Check(); err != nil {
+		return nil, trace.BadParameter("%v", err)
+	}
+	h := &Host{
+		settings: settings,
+		network:  network,
+		logger:   log.With(logger, "host", settings.Name),
+		zones:    make(map[string]string),
+		line:     event.NewLine(settings.Name, &event.Clock{}),
+		feed:     state.NewFeed(),
+		book:     disp.NewBook(),
+		attempts: newAttempts(),
+		running:  newRunning(),
+		retries:  newBudget(),
+		heard:    newHeard(),
+		leaving:  make(chan struct{}),
+	}
+	addresses := make(map[string]netip.AddrPort)
+	for _, other := range settings.Hosts {
+		addresses[other.Name] = other.Address
+		h.zones[other.Name] = other.Zone
+	}
+	h.hub = peer.New(network, settings.Name, addresses)
+	if err := h.openReplica(now); err != nil {
+		return nil, err
+	}
+	incarnation := newToken()
+	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), &reporter{h, incarnation})
+	h.disps = disp.NewSet(h.feed, incarnation, disp.Deps{
+		Host: settings.Name, Network: network, Lease: h.client, Witness: witness{h}, Historian: h,
+		Control: h, Book: h.book, Stats: &h.dispatch,
+	})
+	h.serveHosts()
+	return h, nil
+}
+
+// openReplica opens the data folder when this host holds a replica of the log.
+func (h *Host) openReplica(now time.Time) error {
+	self, _ := h.settings.Self()
+	if !self.Replica {
+		return nil
+	}
+	setup := paxos.Setup{
+		Name: h.settings.Name, Folder: h.settings.DataFolder,
+		Founders: h.settings.Replicas(), Timing: paxos.DefaultTiming(),
+	}
+	leader, err := ctrl.NewLeader(now, setup, h.settings.Zone, h.hub, h.feed)
+	if err != nil {
+		return trace.Wrap(err, "data-folder %s", h.settings.DataFolder)
+	}
+	h.leader = leader
+	return nil
+}
+
+// nearestReplicas lists the replicas, those of the own zone first.
+func (h *Host) nearestReplicas() []string {
+	replicas := h.settings.Replicas()
+	slices.SortStableFunc(replicas, func(a, b string) int {
+		return rankZone(h.zones[a], h.settings.Zone) - rankZone(h.zones[b], h.settings.Zone)
+	})
+	return replicas
+}
+
+func rankZone(zone, own string) int {
+	if zone == own {
+		return 0
+	}
+	return 1
+}
+
+// Start opens the addresses of the host and joins the others.
+func (h *Host) Start() error {
+	if err := h.hub.Start(); err != nil {
+		return trace.Wrap(err, "address for other hosts; is another process using it?")
+	}
+	if h.leader != nil {
+		h.leader.Start()
+		h.tomb.Go(h.watchReplica)
+	}
+	h.client.Start()
+	h.disps.Start()
+	for _, door := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"callers", h.settings.Callers, h},
+		{"upstreams", h.settings.Upstreams, h.upstreamMux()},
+		{"operators", h.settings.Operators, h.operatorMux()},
+	} {
+		if err := h.open(door.address, door.handler); err != nil {
+			h.Kill()
+			return trace.Wrap(err, "address for %s; is another process using it?", door.name)
+		}
+	}
+	h.tomb.Go(h.watchState)
+	h.note("host-started", "", "")
+	return nil
+}
+
+func (h *Host) open(address netip.AddrPort, handler http.Handler) error {
+	listener, err := h.network.Listen(address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
+	h.servers = append(h.servers, server)
+	h.tomb.Go(func() error { return serve(server, listener) })
+	return nil
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// Stop ends the host without cutting a request: its roles go to other hosts, then what is under
+// way ends, then the links close.
+func (h *Host) Stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopPatience)
+	defer cancel()
+	h.note("host-stopping", "", "")
+	close(h.leaving)
+	h.client.Nudge()
+	h.awaitNoRoles(ctx)
+	for _, server := range h.servers {
+		_ = server.Shutdown(ctx)
+	}
+	h.Kill()
+}
+
+// awaitNoRoles waits until other hosts have taken over and the work here has ended.
+func (h *Host) awaitNoRoles(ctx context.Context) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		hasNoRoles := len(h.disps.Health(now)) == 0 || h.isLastHost()
+		if hasNoRoles && h.running.len() == 0 && h.disps.Busy(now) == 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// isLastHost reports whether no other host is left to take over.
+func (h *Host) isLastHost() bool {
+	others := 0
+	h.feed.Read(func(s *state.State) {
+		for name, host := range s.Hosts {
+			if host.Up && name != h.settings.Name {
+				others++
+			}
+		}
+	})
+	return others == 0
+}
+
+// Kill ends the host at once, as a crash would.
+func (h *Host) Kill() {
+	h.tomb.Kill(nil)
+	for _, server := range h.servers {
+		_ = server.Close()
+	}
+	h.disps.Stop()
+	h.client.Stop()
+	if h.leader != nil {
+		h.leader.Stop()
+	}
+	h.hub.Stop()
+}
+
+// watchState notes changes of the state in the time line.
+func (h *Host) watchState() error {
+	previous := newView()
+	for {
+		changed := h.feed.Changed()
+		next := viewOf(h.feed)
+		for _, change := range next.since(previous) {
+			h.note(change.kind, change.subject, change.detail)
+		}
+		previous = next
+		select {
+		case <-changed:
+		case <-h.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// watchReplica notes when the replica of this host ends by itself.
+func (h *Host) watchReplica() error {
+	select {
+	case <-h.tomb.Dying():
+	case <-h.leader.Dead():
+		if err := h.leader.Err(); err != nil {
+			h.note("replica-failed", h.settings.Name, oneLine(err.Error()))
+		}
+	}
+	return nil
+}
+
+// note adds an event to the time line and a line to the log.
+func (h *Host) note(kind, subject, detail string) {
+	h.line.Add(time.Now(), kind, subject, detail)
+	_ = h.logger.Log("event", kind, "subject", subject, "detail", detail)
+}
+
+// upstreamMux serves upstreams that announce themselves.
+func (h *Host) upstreamMux() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Post("/lovagelink/announce"), h.serveAnnounce)
+	return mux
+}
+
+func (r *running) len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.cancels)
+}
+
+func lostReport(upstream string, epoch uint64) ctrl.LostReport {
+	return ctrl.LostReport{Upstream: upstream, Epoch: epoch}
+}
+
+func releasedSlots(service string, slots map[int]uint64) []ctrl.Released {
+	var released []ctrl.Released
+	for slot, epoch := range slots {
+		released = append(released, ctrl.Released{Service: service, Slot: slot, Epoch: epoch})
+	}
+	slices.SortFunc(released, func(a, b ctrl.Released) int { return a.Slot - b.Slot })
+	return released
+}
--- /dev/null
+++ b/internal/entry/oper.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"goji.io"
+	"goji.io/pat"
+
+	"lovagelink.example/lovagelink/internal/ctrl"
+	"lovagelink.example/lovagelink/internal/disp"
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// operatorTimeout bounds an operator's call.
+const operatorTimeout = 5 * time.Second
+
+// Status is what one host tells operators.
+type Status struct {
+	Host       string                     `json:"host"`
+	Zone       string                     `json:"zone"`
+	Index      uint64                     `json:"index"`
+	Version    uint64                     `json:"version"`
+	Leader     string                     `json:"leader"`
+	LeaseLeft  time.Duration              `json:"lease-left"`
+	Hosts      map[string]*state.Host     `json:"hosts"`
+	Upstreams  map[string]*state.Upstream `json:"upstreams"`
+	Owned      map[string]int             `json:"owned"`
+	Unowned    int                        `json:"unowned"`
+	Dispatches map[string]disp.Health     `json:"dispatches"`
+	Replicas   []string                   `json:"replicas,omitempty"`
+	Counts     map[string]int64           `json:"counts"`
+}
+
+// operatorMux serves operators; it listens on an address of its own, out of callers' reach.
+func (h *Host) operatorMux() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get("/status"), func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, h.Status(time.Now()))
+	})
+	mux.HandleFunc(pat.Get("/timeline"), func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, h.line.All())
+	})
+	mux.HandleFunc(pat.Get("/config"), h.serveShow)
+	mux.HandleFunc(pat.Post("/config"), h.serveAccept)
+	mux.HandleFunc(pat.Get("/progress"), h.serveProgress)
+	mux.HandleFunc(pat.Post("/drain/:upstream"), h.serveDrain)
+	return mux
+}
+
+// Status returns what the host knows at present.
+func (h *Host) Status(now time.Time) Status {
+	status := Status{
+		Host: h.settings.Name, Zone: h.settings.Zone, Leader: h.client.Leader(),
+		LeaseLeft: h.client.LeaseUntil().Sub(now), Dispatches: h.disps.Health(now),
+		Hosts: make(map[string]*state.Host), Upstreams: make(map[string]*state.Upstream),
+		Owned: make(map[string]int), Counts: h.counts(),
+	}
+	h.feed.Read(func(s *state.State) { status.fill(s) })
+	if h.leader != nil {
+		for _, member := range h.leader.Status(now).Members {
+			status.Replicas = append(status.Replicas, member.Name)
+		}
+	}
+	return status
+}
+
+func (status *Status) fill(s *state.State) {
+	status.Index = s.Index
+	status.Version = s.Version
+	for name, host := range s.Hosts {
+		copied := *host
+		status.Hosts[name] = &copied
+	}
+	for id, upstream := range s.Upstreams {
+		copied := *upstream
+		status.Upstreams[id] = &copied
+	}
+	for _, table := range s.Tables {
+		for _, slot := range table.Slots {
+			if slot.Owner == "" {
+				status.Unowned++
+				continue
+			}
+			status.Owned[slot.Owner]++
+		}
+	}
+}
+
+func (h *Host) counts() map[string]int64 {
+	return map[string]int64{
+		"requests":     h.stats.Requests.Load(),
+		"faulty":       h.stats.Faulty.Load(),
+		"ran":          h.stats.Ran.Load(),
+		"not-run":      h.stats.NotRun.Load(),
+		"may-have-run": h.stats.MayHaveRun.Load(),
+		"forwarded":    h.stats.Forwarded.Load(),
+		"sent":         h.dispatch.Sent.Load(),
+		"failed":       h.dispatch.Failed.Load(),
+		"crossed":      h.dispatch.Crossed.Load(),
+		"refused":      h.dispatch.Refused.Load(),
+		"joined":       h.dispatch.Joined.Load(),
+	}
+}
+
+// Shown is the accepted configuration.
+type Shown struct {
+	Version uint64 `json:"version"`
+	Body    string `json:"body"`
+}
+
+func (h *Host) serveShow(w http.ResponseWriter, _ *http.Request) {
+	var shown Shown
+	h.feed.Read(func(s *state.State) { shown = Shown{Version: s.Version, Body: s.Body} })
+	writeJSON(w, shown)
+}
+
+// serveAccept takes a configuration from an operator.
+func (h *Host) serveAccept(w http.ResponseWriter, request *http.Request) {
+	var args state.Accept
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, 1<<20))
+	if err == nil {
+		err = json.Unmarshal(body, &args)
+	}
+	if err != nil || args.RequestID == "" {
+		writeFault(w, notRun(http.StatusBadRequest, "body", "it is not an accept call with a request-id", "use lovagelink config accept"))
+		return
+	}
+	accepted, err := h.Accept(request.Context(), args)
+	switch {
+	case err != nil:
+		writeFault(w, &verd.Error{
+			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Place: "configuration",
+			Reason: err.Error(), Remedy: "send the same request-id again to learn the outcome",
+		})
+	case accepted.Refused != "":
+		writeFault(w, notRun(http.StatusConflict, "configuration", accepted.Refused, ""))
+	default:
+		writeJSON(w, accepted)
+	}
+}
+
+// Accept puts a configuration into the log and returns the answer of the state.
+func (h *Host) Accept(ctx context.Context, args state.Accept) (state.Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	var accepted state.Accepted
+	reply, err := h.client.Propose(ctx, state.Command{Accept: &args})
+	if err != nil {
+		return accepted, err
+	}
+	return accepted, json.Unmarshal(reply.Answer, &accepted)
+}
+
+func (h *Host) serveProgress(w http.ResponseWriter, request *http.Request) {
+	ctx, cancel := context.WithTimeout(request.Context(), operatorTimeout)
+	defer cancel()
+	progress, err := h.client.Progress(ctx)
+	if err != nil {
+		writeFault(w, notRun(http.StatusServiceUnavailable, "control", err.Error(), "ask a host of another zone"))
+		return
+	}
+	writeJSON(w, progress)
+}
+
+// serveDrain begins the leaving of an upstream.
+func (h *Host) serveDrain(w http.ResponseWriter, request *http.Request) {
+	ctx, cancel := context.WithTimeout(request.Context(), operatorTimeout)
+	defer cancel()
+	id := pat.Param(request, "upstream")
+	isKnown := false
+	h.feed.Read(func(s *state.State) { isKnown = s.Upstreams[id] != nil })
+	if !isKnown {
+		writeFault(w, notRun(http.StatusNotFound, "upstream "+id, "it has not announced itself", "look at lovagelink status"))
+		return
+	}
+	reply, err := h.client.Propose(ctx, state.Command{Drain: &state.Drain{Upstream: id}})
+	if err != nil {
+		writeFault(w, notRun(http.StatusServiceUnavailable, "control", err.Error(), "try again"))
+		return
+	}
+	writeJSON(w, ctrl.ProposalReply{OK: reply.OK, Index: reply.Index})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+
+	"lovagelink.example/lovagelink/internal/state"
+)
+
+// view is what the time line shows of the state.
+type view struct {
+	version   uint64
+	hosts     map[string]bool
+	upstreams map[string]upstreamView
+	owned     map[string]int
+}
+
+type upstreamView struct {
+	phase state.Phase
+	host  string
+	epoch uint64
+}
+
+// change is one difference between two views.
+type change struct {
+	kind    string
+	subject string
+	detail  string
+}
+
+func newView() view {
+	return view{
+		hosts: make(map[string]bool), upstreams: make(map[string]upstreamView), owned: make(map[string]int),
+	}
+}
+
+func viewOf(feed *state.Feed) view {
+	v := newView()
+	feed.Read(func(s *state.State) {
+		v.version = s.Version
+		for name, host := range s.Hosts {
+			v.hosts[name] = host.Up
+		}
+		for id, u := range s.Upstreams {
+			v.upstreams[id] = upstreamView{u.Phase, u.Host, u.Epoch}
+		}
+		for _, table := range s.Tables {
+			for _, slot := range table.Slots {
+				v.owned[slot.Owner]++
+			}
+		}
+	})
+	return v
+}
+
+// since lists what has changed from an earlier view.
+func (v view) since(previous view) []change {
+	var changes []change
+	if v.version != previous.version {
+		changes = append(changes, change{"config-in-force", fmt.Sprint(v.version), ""})
+	}
+	for name, up := range v.hosts {
+		if was, ok := previous.hosts[name]; up && !was {
+			changes = append(changes, change{"host-up", name, ""})
+		} else if !up && (was || !ok) {
+			changes = append(changes, change{"host-down", name, ""})
+		}
+	}
+	for id, u := range v.upstreams {
+		changes = append(changes, u.since(id, previous)...)
+	}
+	for id := range previous.upstreams {
+		if _, ok := v.upstreams[id]; !ok {
+			changes = append(changes, change{"upstream-left", id, ""})
+		}
+	}
+	for id := range v.upstreams {
+		if v.owned[id] != previous.owned[id] {
+			changes = append(changes, change{"slots", id, fmt.Sprintf("%d, were %d", v.owned[id], previous.owned[id])})
+		}
+	}
+	slices.SortFunc(changes, func(a, b change) int {
+		return slices.Compare([]string{a.kind, a.subject}, []string{b.kind, b.subject})
+	})
+	return changes
+}
+
+func (u upstreamView) since(id string, previous view) []change {
+	var changes []change
+	was, ok := previous.upstreams[id]
+	if !ok || u.phase != was.phase {
+		changes = append(changes, change{"upstream-" + u.phase.String(), id, ""})
+	}
+	if u.host != was.host && u.host != "" {
+		changes = append(changes, change{"dispatcher", id, u.host})
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lovagelink.example/lovagelink/internal/upsim"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Highest latency that a histogram holds, in microseconds.
+const maxLatency = 60_000_000
+
+// Tally counts the fates of one kind of call; each request has exactly one of them.
+type Tally struct {
+	Call     Call
+	Sent     int
+	Served   int
+	OnTarget int
+	Refused  int // answered "not run"
+	Unknown  int // answered "may have run", or not at all
+	Resent   int
+	Latency  *hdrhistogram.Histogram // of served requests, in microseconds
+}
+
+// Result is what a load run has seen.
+type Result struct {
+	mu        sync.Mutex
+	Tallies   []*Tally
+	Truncated int
+	Crossed   int
+	notRun    map[string]bool // ids that were answered "not run"
+	ran       map[string]bool // ids that were answered "ran"
+}
+
+func newResult(shape Shape) *Result {
+	r := &Result{notRun: make(map[string]bool), ran: make(map[string]bool)}
+	for _, call := range shape.Calls {
+		r.Tallies = append(r.Tallies, &Tally{Call: call, Latency: hdrhistogram.New(1, maxLatency, 3)})
+	}
+	return r
+}
+
+func (r *Result) tally(name string) *Tally {
+	for _, tally := range r.Tallies {
+		if tally.Call.Name == name {
+			return tally
+		}
+	}
+	return nil
+}
+
+// add counts the fate of one request.
+func (r *Result) add(call Call, id string, fate fate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	tally := r.tally(call.Name)
+	tally.Sent++
+	tally.Resent += fate.resent
+	r.Truncated += fate.truncated
+	r.Crossed += fate.crossed
+	if fate.saidNotRun {
+		r.notRun[id] = true
+	}
+	switch {
+	case fate.answered && fate.verdict == verd.Ran:
+		tally.Served++
+		r.ran[id] = true
+		if fate.took <= call.Target {
+			tally.OnTarget++
+		}
+		_ = tally.Latency.RecordValue(min(fate.took.Microseconds(), maxLatency))
+	case fate.answered && fate.verdict == verd.NotRun:
+		tally.Refused++
+	default:
+		tally.Unknown++
+	}
+}
+
+// Sent returns the number of all requests.
+func (r *Result) Sent() int {
+	sent := 0
+	for _, tally := range r.Tallies {
+		sent += tally.Sent
+	}
+	return sent
+}
+
+// Worth returns the worth of what was served on target, and of all that was asked for.
+func (r *Result) Worth() (served, asked float64) {
+	for _, tally := range r.Tallies {
+		served += float64(tally.OnTarget) * tally.Call.Worth
+		asked += float64(tally.Sent) * tally.Call.Worth
+	}
+	return served, asked
+}
+
+// Percentile returns a latency of the served requests.
+func (t *Tally) Percentile(percent float64) time.Duration {
+	return time.Duration(t.Latency.ValueAtQuantile(percent)) * time.Microsecond
+}
+
+// Verdict compares what callers were told with what has run.
+type Verdict struct {
+	Requests    int
+	Doubled     int
+	TwoOwners   int
+	Truncated   int
+	Crossed     int
+	FalseNotRun int
+	FalseRan    int
+}
+
+// Judge compares the result with the upstreams' ledgers.
+func (r *Result) Judge(runs []upsim.Run) Verdict {
+	audit := upsim.Examine(runs)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	verdict := Verdict{
+		Requests: r.Sent(), Doubled: audit.Doubled, TwoOwners: audit.TwoOwners,
+		Truncated: r.Truncated, Crossed: r.Crossed,
+	}
+	for id := range r.notRun {
+		if audit.ByID[id] > 0 {
+			verdict.FalseNotRun++
+		}
+	}
+	for id := range r.ran {
+		if audit.ByID[id] == 0 {
+			verdict.FalseRan++
+		}
+	}
+	return verdict
+}
+
+// OK reports whether every promise was kept.
+func (v Verdict) OK() bool {
+	return v.Doubled == 0 && v.TwoOwners == 0 && v.Truncated == 0 && v.Crossed == 0 &&
+		v.FalseNotRun == 0 && v.FalseRan == 0
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/upapi"
+	"lovagelink.example/lovagelink/internal/upsim"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Periods of a caller.
+const (
+	resendPause    = 50 * time.Millisecond
+	attemptTimeout = 5 * time.Second
+)
+
+// Settings describe a load run.
+type Settings struct {
+	Shape   Shape
+	Rate    float64 // requests a second
+	Period  time.Duration
+	Entries []netip.AddrPort // callers' addresses of the entry hosts
+	Seed    uint64
+}
+
+// fate is what became of one request.
+type fate struct {
+	answered   bool
+	verdict    verd.Verdict
+	took       time.Duration
+	saidNotRun bool
+	resent     int
+	truncated  int
+	crossed    int
+}
+
+// Runner drives callers.
+type Runner struct {
+	settings Settings
+	client   *http.Client
+	result   *Result
+}
+
+// New returns a runner.
+func New(settings Settings, network peer.Network) *Runner {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		to, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return network.Dial(ctx, to)
+	}
+	return &Runner{
+		settings: settings,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: 1024, DisableCompression: true,
+		}},
+		result: newResult(settings.Shape),
+	}
+}
+
+// Run sends requests for the period, waits for the last answers and returns what was seen.
+func (r *Runner) Run(ctx context.Context) *Result {
+	draw := newDrawer(r.settings.Shape, r.settings.Seed)
+	interval := time.Duration(float64(time.Second) / r.settings.Rate)
+	began := time.Now()
+	var group sync.WaitGroup
+	for number := 0; ; number++ {
+		due := began.Add(time.Duration(number) * interval)
+		if due.Sub(began) >= r.settings.Period || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(time.Until(due))
+		call, path := draw.next()
+		id := fmt.Sprintf("%s-%d-%d", r.settings.Shape.Name, r.settings.Seed, number)
+		group.Go(func() { r.result.add(call, id, r.call(ctx, due, call, path, id)) })
+	}
+	group.Wait()
+	r.client.CloseIdleConnections()
+	return r.result
+}
+
+// call sends one request, and sends it again while its outcome is unknown.
+func (r *Runner) call(ctx context.Context, due time.Time, call Call, path, id string) fate {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(call.Patience))
+	defer cancel()
+	var f fate
+	for attempt := 1; ; attempt++ {
+		r.attempt(ctx, call, path, id, attempt, &f)
+		isFinal := f.answered && f.verdict != verd.MayHaveRun
+		if isFinal || ctx.Err() != nil {
+			break
+		}
+		f.resent++
+		sleep(ctx, resendPause*time.Duration(attempt))
+	}
+	f.took = time.Since(due)
+	return f
+}
+
+// attempt sends the request once to an entry host picked at random, as a balancer would.
+func (r *Runner) attempt(ctx context.Context, call Call, path, id string, attempt int, f *fate) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	entry := r.settings.Entries[rand.IntN(len(r.settings.Entries))]
+	var body io.Reader
+	if call.Method == http.MethodPost {
+		body = strings.NewReader("order " + id)
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+entry.String()+path, body)
+	if err != nil {
+		return
+	}
+	request.Header.Set(upapi.HeaderRequestID, id)
+	request.Header.Set("Request-Attempt", strconv.Itoa(attempt))
+	response, err := r.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	f.answered = true
+	f.verdict = verd.Parse(response.Header.Get(verd.Header))
+	switch f.verdict {
+	case verd.NotRun:
+		f.saidNotRun = true
+	case verd.Ran:
+		check(id, string(text), err, f)
+	}
+}
+
+// check verifies that an answer is whole and belongs to the request.
+func check(id, text string, err error, f *fate) {
+	found, whole := upsim.CheckAnswer(text)
+	if err != nil || !whole {
+		f.truncated++
+		return
+	}
+	if found != id {
+		f.crossed++
+	}
+}
+
+func sleep(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
