--- a/internal/ctrl/client.go
+++ b/internal/ctrl/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +28,6 @@
 	hub      *peer.Hub
 	feed     *state.Feed
 	replicas []string // own zone first
-	hasOwn   bool     // a replica on this host drives the feed
 	reporter Reporter
 	nudge    chan struct{}
 	tomb     tomb.Tomb
@@ -37,6 +35,8 @@
 	mu     sync.Mutex
 	leader string
 	until  time.Time // end of the host's lease
+	offer  time.Time // end of a lease that holds once the state has reached needed
+	needed uint64
 	loaded time.Time // when loads were last reported
 	newest uint64    // the highest index that a leader has told of
 }
@@ -45,8 +45,7 @@
 func NewClient(name string, hub *peer.Hub, feed *state.Feed, replicas []string, reporter Reporter) *Client {
 	c := &Client{
 		name: name, hub: hub, feed: feed, replicas: replicas, reporter: reporter,
-		hasOwn: slices.Contains(replicas, name),
-		nudge:  make(chan struct{}, 1),
+		nudge: make(chan struct{}, 1),
 	}
 	peer.On(hub, "watch", c.handleWatch)
 	return c
@@ -55,9 +54,7 @@
 // Start begins to send heartbeats and to follow the state.
 func (c *Client) Start() {
 	c.tomb.Go(c.beatLoop)
-	if !c.hasOwn {
-		c.tomb.Go(c.watchLoop)
-	}
+	c.tomb.Go(c.watchLoop)
 }
 
 // Stop ends both.
@@ -66,13 +63,23 @@
 	_ = c.tomb.Wait()
 }
 
-// LeaseUntil returns until when this host may act as a dispatcher.
+// LeaseUntil returns until when this host may act as a dispatcher. A lease holds only on a host that
+// knows what the leader knew when it granted it: one that no longer follows the state loses its
+// lease, and with it the roles that the state has taken from it.
 func (c *Client) LeaseUntil() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.takeUp()
 	return c.until
 }
 
+// takeUp turns an offered lease into one that holds, if the state has come far enough.
+func (c *Client) takeUp() {
+	if c.offer.After(c.until) && c.feed.Index() >= c.needed {
+		c.until = c.offer
+	}
+}
+
 // Leader returns the host that last answered as the leader.
 func (c *Client) Leader() string {
 	c.mu.Lock()
@@ -174,7 +181,9 @@
 	c.leader = reply.Leader
 	c.newest = max(c.newest, reply.Index)
 	if reply.Granted {
-		c.until = sent.Add(HostLease - HostLease/10)
+		c.takeUp()
+		c.offer = sent.Add(HostLease - HostLease/10)
+		c.needed = reply.Index
 	}
 	return reply.Leader == target
 }
@@ -206,6 +215,9 @@
 	ctx := c.tomb.Context(context.Background())
 	for turn := 0; c.tomb.Alive(); turn++ {
 		source := c.replicas[turn%len(c.replicas)]
+		if source == c.name {
+			source = c.replicas[(turn+1)%len(c.replicas)]
+		}
 		for c.tomb.Alive() && c.watch(ctx, source) == nil {
 			continue
 		}
@@ -230,6 +242,13 @@
 	return nil
 }
 
+// IsCurrent reports whether this host has heard from a leader and knows what that leader knew.
+func (c *Client) IsCurrent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader != "" && c.feed.Index() >= c.newest
+}
+
 // isBehind reports whether a leader knows more than this host, so that its source must be cut off.
 func (c *Client) isBehind() bool {
 	c.mu.Lock()
--- a/internal/ctrl/leader.go
+++ b/internal/ctrl/leader.go
@@ -35,6 +35,7 @@
 	idle     map[string]bool
 	loads    *loads
 	planned  time.Time // when slots were last balanced
+	relieved time.Time // when a dispatcher was last moved to a host with fewer
 }
 
 // hostReport is what the newest heartbeat of a host said.
@@ -108,6 +109,7 @@
 	l.idle = make(map[string]bool)
 	l.loads = newLoads()
 	l.planned = now
+	l.relieved = now
 }
 
 // leading reports whether this replica holds the leader's lease, and begins a new leadership
--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -13,6 +13,7 @@
 	balancePeriod = 5 * time.Second
 	balanceSlack  = 0.25 // of the mean load
 	balanceBudget = 8    // moves in each period and service
+	reliefPeriod  = 500 * time.Millisecond
 )
 
 // plan returns the changes that are due.
@@ -24,7 +25,7 @@
 		commands = append(commands, l.planHosts(now, s)...)
 		commands = append(commands, l.planJoins(s)...)
 		commands = append(commands, l.planDrains(s)...)
-		if dispatch := l.planDispatch(s); len(dispatch) > 0 {
+		if dispatch := l.planDispatch(now, s); len(dispatch) > 0 {
 			commands = append(commands, state.Command{Dispatch: dispatch})
 		}
 		if assigns := l.planFill(now, s); len(assigns) > 0 {
@@ -102,7 +103,7 @@
 
 // planDispatch gives each upstream without a living dispatcher to the least burdened host, one of
 // its own zone where there is one.
-func (l *Leader) planDispatch(s *state.State) []state.Dispatch {
+func (l *Leader) planDispatch(now time.Time, s *state.State) []state.Dispatch {
 	burden := make(map[string]int)
 	for _, u := range s.Upstreams {
 		if hasDispatcher(s, u) {
@@ -116,22 +117,45 @@
 			continue
 		}
 		host := l.pickHost(s, u, burden)
-		if host == "" || host == u.Host {
+		if host == "" || host == u.Host && hasDispatcher(s, u) {
 			continue
 		}
 		burden[host]++
-		changes = append(changes, state.Dispatch{
-			Upstream: id, Epoch: u.Epoch, Host: host, Incarnation: s.Hosts[host].Incarnation,
-		})
+		changes = append(changes, dispatchTo(s, u, host))
+	}
+	return append(changes, l.planRelief(now, s, burden)...)
+}
+
+func dispatchTo(s *state.State, u *state.Upstream, host string) state.Dispatch {
+	return state.Dispatch{Upstream: u.ID, Epoch: u.Epoch, Host: host, Incarnation: s.Hosts[host].Incarnation}
+}
+
+// planRelief moves one dispatcher now and then to a host of the same zone that has at least two
+// fewer, so that hosts which came late get their share.
+func (l *Leader) planRelief(now time.Time, s *state.State, burden map[string]int) []state.Dispatch {
+	if now.Sub(l.relieved) < reliefPeriod {
+		return nil
+	}
+	l.relieved = now
+	for _, id := range sortedKeys(s.Upstreams) {
+		u := s.Upstreams[id]
+		host := l.pickHost(s, u, burden)
+		if u.Phase != state.Serving || host == "" || !hasDispatcher(s, u) {
+			continue
+		}
+		isNear := s.Hosts[host].Zone == u.Zone
+		isFar := s.Hosts[u.Host].Zone != u.Zone
+		if isNear && (isFar || burden[u.Host]-burden[host] >= 2) {
+			return []state.Dispatch{dispatchTo(s, u, host)}
+		}
 	}
-	return changes
+	return nil
 }
 
 func (l *Leader) pickHost(s *state.State, u *state.Upstream, burden map[string]int) string {
 	best := ""
 	for _, name := range sortedKeys(s.Hosts) {
-		host := s.Hosts[name]
-		if !host.Up || l.hosts[name].leaving {
+		if !l.canDispatch(s, name) {
 			continue
 		}
 		if best == "" || isCloser(s, u, burden, name, best) {
@@ -141,6 +165,14 @@
 	return best
 }
 
+// canDispatch reports whether a host that is up may be given an upstream. A host that has just been
+// restarted must be marked up under its new life first.
+func (l *Leader) canDispatch(s *state.State, name string) bool {
+	host := s.Hosts[name]
+	report, ok := l.hosts[name]
+	return host.Up && ok && !report.leaving && report.incarnation == host.Incarnation
+}
+
 func isCloser(s *state.State, u *state.Upstream, burden map[string]int, a, b string) bool {
 	isNearA, isNearB := s.Hosts[a].Zone == u.Zone, s.Hosts[b].Zone == u.Zone
 	if isNearA != isNearB {
--- a/internal/ctrl/wire.go
+++ b/internal/ctrl/wire.go
@@ -8,7 +8,7 @@
 
 // Periods that all hosts share.
 const (
-	HostLease    = 1500 * time.Millisecond // from the leader's clock
+	HostLease    = 1200 * time.Millisecond // from the leader's clock
 	beatPeriod   = 200 * time.Millisecond
 	callTimeout  = 400 * time.Millisecond
 	watchTimeout = time.Second
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	"lovagelink.example/lovagelink/examples"
+	"lovagelink.example/lovagelink/internal/fleet"
 	"lovagelink.example/lovagelink/internal/load"
 	"lovagelink.example/lovagelink/internal/peer"
 )
@@ -27,57 +28,43 @@
 	drainedOne = "plan-07"
 )
 
-// GautengGroups are the upstreams of the Hanging Office.
-func GautengGroups() []Group {
-	return []Group{
-		{Service: "plan", Count: 25, Slots: 2, Keyed: true, Work: 20 * time.Millisecond},
-		{Service: "commission", Count: 5, Slots: 2, Work: 20 * time.Millisecond},
-	}
-}
-
-// KingstonGroups are the upstreams of the Window Services Authority.
-func KingstonGroups() []Group {
-	return []Group{
-		{Service: "rounds", Count: 30, Slots: 6, Keyed: true, Work: 20 * time.Millisecond},
-		{Service: "billing", Count: 5, Slots: 6, Work: 20 * time.Millisecond},
-	}
-}
-
 // Run starts a deployment, loads it while upstreams and a host come and go, and prints what was
 // served. It returns whether every promise was kept.
 func Run(ctx context.Context, out io.Writer) (bool, error) {
-	folder, err := TempFolder()
+	folder, err := os.MkdirTemp("", "lovagelink-demo-")
 	if err != nil {
 		return false, err
 	}
 	defer os.RemoveAll(folder)
-	fleet, err := Build(time.Now(), Plan{
-		Zones: []string{"a", "b", "c"}, Hosts: 10, Groups: GautengGroups(), Folder: folder,
-		Checks: true, Address: Loopback(),
-	}, peer.TCP{}, log.NewNopLogger())
+	f, err := fleet.Build(time.Now(), fleet.Plan{
+		Zones: []string{"a", "b", "c"}, Hosts: 10, Groups: fleet.Gauteng(), Folder: folder, Checks: true,
+		Address: fleet.Loopback(),
+		Network: func(string, string) peer.Network { return peer.TCP{} },
+		Logger:  log.NewNopLogger(),
+	})
 	if err != nil {
 		return false, err
 	}
-	defer fleet.Stop()
+	defer f.Stop()
 	ready, cancel := context.WithTimeout(ctx, demoReady)
 	defer cancel()
 	fmt.Fprintln(out, "starting 10 entry hosts in 3 zones, 25 plan and 5 commission upstreams")
-	if err := fleet.Start(ready, examples.Gauteng); err != nil {
+	if err := f.Start(ready, examples.Gauteng); err != nil {
 		return false, err
 	}
 	fmt.Fprintf(out, "load: %d requests a second for %s; on the way %s is lost, %s drains, host a2 stops\n\n",
 		demoRate, demoPeriod, lostOne, drainedOne)
-	go disturb(ctx, fleet)
+	go disturb(ctx, f)
 	runner := load.New(load.Settings{
-		Shape: load.Gauteng(), Rate: demoRate, Period: demoPeriod, Entries: fleet.Entries(), Seed: 1,
+		Shape: load.Gauteng(), Rate: demoRate, Period: demoPeriod, Entries: f.Entries(), Seed: 1,
 	}, peer.TCP{})
 	result := runner.Run(ctx)
 	Print(out, result)
-	return PrintVerdict(out, result.Judge(fleet.Ledger.Runs())), nil
+	return PrintVerdict(out, result.Judge(f.Ledger.Runs())), nil
 }
 
 // disturb loses one upstream, drains one and stops one host.
-func disturb(ctx context.Context, fleet *Fleet) {
+func disturb(ctx context.Context, f *fleet.Fleet) {
 	began := time.Now()
 	wait := func(period time.Duration) {
 		timer := time.NewTimer(time.Until(began.Add(period)))
@@ -88,11 +75,11 @@
 		}
 	}
 	wait(lossAfter)
-	fleet.Upstream(lostOne).Kill()
+	f.Upstream(lostOne).Kill()
 	wait(drainAfter)
-	fleet.Upstream(drainedOne).Drain()
+	f.Upstream(drainedOne).Drain()
 	wait(stopAfter)
-	fleet.Hosts[3].Stop(ctx)
+	f.Hosts[3].Stop(ctx)
 }
 
 // Print writes the table of a load run.
--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -10,7 +10,7 @@
 
 // Limits of the book.
 const (
-	keepOutcomes = 5 * time.Minute
+	KeepOutcomes = 5 * time.Minute // how long the outcome of an exclusive request is remembered
 	maxRecords   = 100_000
 )
 
@@ -21,6 +21,7 @@
 	ID      string   `json:"id"`
 	Print   uint64   `json:"print"`
 	Outcome *Outcome `json:"outcome,omitempty"` // nil while it is not known
+	Running bool     `json:"running,omitempty"` // the host that tells of it has it under way
 }
 
 // Book remembers exclusive requests by id, so that a resend gets the first outcome. A record stands
@@ -56,9 +57,6 @@
 	defer b.mu.Unlock()
 	key := noteKey{r.Service, r.ID}
 	if known := b.records[key]; known != nil {
-		if !known.running && !known.settled {
-			known.settle(unknown("an earlier attempt was started and its outcome was lost"))
-		}
 		return known, false
 	}
 	one := b.enter(now, Note{Service: r.Service, Slot: r.Slot, ID: r.ID, Print: r.Print})
@@ -79,7 +77,7 @@
 func (b *Book) expire(now time.Time) {
 	for len(b.order) > 0 {
 		oldest := b.order[0]
-		isOld := now.Sub(oldest.noted) > keepOutcomes || len(b.order) > maxRecords
+		isOld := now.Sub(oldest.noted) > KeepOutcomes || len(b.order) > maxRecords
 		if !isOld || oldest.running {
 			return
 		}
@@ -131,6 +129,7 @@
 	if known == nil {
 		known = b.enter(now, note)
 		known.note.Outcome = nil
+		known.note.Running = false
 	}
 	if note.Outcome == nil || known.running {
 		return
@@ -152,12 +151,48 @@
 	var notes []Note
 	for _, one := range b.records {
 		if one.note.Service == service && wanted[one.note.Slot] {
-			notes = append(notes, one.note)
+			notes = append(notes, one.told())
 		}
 	}
 	return notes
 }
 
+// ExportAll lists all that the book knows.
+func (b *Book) ExportAll() []Note {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	notes := make([]Note, 0, len(b.records))
+	for _, one := range b.records {
+		notes = append(notes, one.told())
+	}
+	return notes
+}
+
+// told is the record as another host is told of it.
+func (one *record) told() Note {
+	note := one.note
+	note.Running = one.running
+	return note
+}
+
+// Find returns what the book knows of one request.
+func (b *Book) Find(service, id string) (Note, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	one := b.records[noteKey{service, id}]
+	if one == nil {
+		return Note{}, false
+	}
+	return one.told(), true
+}
+
+// isOpen reports whether the outcome of a record must come from another host.
+func (b *Book) isOpen(one *record) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !one.running && !one.settled
+}
+
 // Import takes in what other hosts know; a start without an outcome counts as one that may have run.
 func (b *Book) Import(now time.Time, notes []Note) {
 	for _, note := range notes {
@@ -171,10 +206,3 @@
 	defer b.mu.Unlock()
 	return len(b.records)
 }
-
-// Knows reports whether the book has a record of a request.
-func (b *Book) Knows(service, id string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.records[noteKey{service, id}] != nil
-}
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -8,6 +8,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"lovagelink.example/lovagelink/internal/ctrl"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/queue"
@@ -19,16 +20,24 @@
 }
 
 // Witness makes sure before an exclusive request is sent that another host knows of it, and that
-// its entry host still wants it.
+// its entry host still wants it. Start returns the host that has noted the start.
 type Witness interface {
-	Start(ctx context.Context, r Request) error
-	Finished(r Request, outcome Outcome)
+	Start(ctx context.Context, r Request) (noted string, err error)
+	Finished(r Request, noted string, outcome Outcome)
 }
 
-// Historian collects what other hosts know of earlier requests of some slots; whole is false when
-// not all of them have answered.
+// History is what the hosts know of earlier requests.
+type History struct {
+	Notes    []Note
+	Answered map[string]bool // by host
+	Missing  int             // hosts that did not answer or that have lost what they knew
+}
+
+// Historian collects what other hosts know of earlier requests. A host that is asked ends its own
+// dispatcher of the upstream first, so that nothing is started behind the answer.
 type Historian interface {
-	Collect(ctx context.Context, service string, slots []int) (notes []Note, whole bool)
+	Collect(ctx context.Context, upstream string, epoch uint64, service string, slots []int) History
+	Find(ctx context.Context, service, id string) []Note
 }
 
 // Control takes a dispatcher's reports.
@@ -55,10 +64,12 @@
 	upstream  state.Announced
 	epoch     uint64
 	exclusive bool
+	before    string
 	client    *http.Client // for work
 	prober    *http.Client // for grants
 	nudge     chan struct{}
 	tomb      tomb.Tomb
+	missed    bool // the last grant was not answered; used by the grant loop alone
 
 	mu      sync.Mutex
 	queue   *queue.Queue[*waiting]
@@ -68,6 +79,8 @@
 	pace    pace
 	closed  bool
 	grant   grantState
+	lost    signal // fires when the upstream is given up
+	suspect signal // fires when older connections may be silent
 }
 
 // waiting is a queued request; ready closes when its turn has come.
@@ -82,6 +95,7 @@
 		upstream:  role.Upstream.Announced,
 		epoch:     role.Upstream.Epoch,
 		exclusive: role.Exclusive,
+		before:    role.Before,
 		client:    newClient(deps.Network, role.Upstream.Connections),
 		prober:    newClient(deps.Network, 2),
 		nudge:     make(chan struct{}, 1),
@@ -90,6 +104,8 @@
 		shares:    make(map[int]*share),
 		pace:      newPace(role.Upstream.Slots),
 		grant:     grantState{since: now},
+		lost:      newSignal(),
+		suspect:   newSignal(),
 	}
 	return d
 }
@@ -122,7 +138,7 @@
 }
 
 // Sync takes in the slots that the upstream owns now.
-func (d *Dispatcher) Sync(role Role) {
+func (d *Dispatcher) Sync(now time.Time, role Role) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
@@ -135,7 +151,7 @@
 			if known != nil {
 				known.leave()
 			}
-			d.shares[number] = newShare(number, slot.Epoch)
+			d.shares[number] = newShare(now, number, slot.Epoch)
 			fresh = append(fresh, number)
 		}
 		if slot.Next != "" {
@@ -154,20 +170,25 @@
 	d.rouse()
 }
 
-// learnHistory opens new slots once it is known which exclusive requests they have had.
+// tolerated is how many hosts can miss: each started request is known to two.
+const tolerated = 1
+
+// learnHistory opens new slots once it is known which exclusive requests they have had, and once
+// the dispatcher before this one is sure to have ended.
 func (d *Dispatcher) learnHistory(slots []int) error {
-	whole := true
-	if d.exclusive {
-		var notes []Note
-		ctx := d.tomb.Context(context.Background())
-		notes, whole = d.Historian.Collect(ctx, d.upstream.Service, slots)
-		d.Book.Import(time.Now(), notes)
+	began := time.Now()
+	ctx := d.tomb.Context(context.Background())
+	history := d.Historian.Collect(ctx, d.upstream.ID, d.epoch, d.upstream.Service, slots)
+	if d.before != "" && d.before != d.Host && !history.Answered[d.before] {
+		pause(ctx, time.Until(began.Add(ctrl.HostLease)))
+		history = d.Historian.Collect(ctx, d.upstream.ID, d.epoch, d.upstream.Service, slots)
 	}
+	d.Book.Import(time.Now(), history.Notes)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, number := range slots {
 		if s := d.shares[number]; s != nil && !s.isReady() {
-			s.gap = !whole
+			s.gap = history.Missing > tolerated
 			close(s.ready)
 		}
 	}
--- a/internal/disp/grant.go
+++ b/internal/disp/grant.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -18,7 +19,7 @@
 	GrantLease   = time.Second // by the upstream's clock
 	grantPeriod  = 250 * time.Millisecond
 	grantTimeout = 300 * time.Millisecond
-	neverReached = 700 * time.Millisecond // after which an upstream that has not answered is lost
+	neverReached = 500 * time.Millisecond // after which an upstream that has not answered is lost
 	clockMargin  = 50 * time.Millisecond
 	reportPause  = 100 * time.Millisecond
 )
@@ -81,11 +82,25 @@
 	if err != nil {
 		d.prober.CloseIdleConnections()
 		d.client.CloseIdleConnections()
-		return false
+		d.missed = true
+		return errors.Is(err, context.DeadlineExceeded)
+	}
+	if d.missed {
+		d.missed = false
+		d.distrust()
 	}
 	return d.confirm(now, time.Now(), grant, reply)
 }
 
+// distrust ends the requests on older connections after a while: the upstream has missed a grant on
+// its old connection and answers on a new one, so the old ones may have gone silent.
+func (d *Dispatcher) distrust() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.suspect.fire()
+	d.suspect = newSignal()
+}
+
 // nextGrant builds the grant that is due. It ends with the lease of this host at the latest.
 func (d *Dispatcher) nextGrant(now time.Time) (upapi.Grant, bool) {
 	lease := d.Lease.LeaseUntil()
@@ -204,6 +219,7 @@
 // reportLost gives all work back and tells the leader until it has taken the slots away.
 func (d *Dispatcher) reportLost(ctx context.Context) {
 	d.close()
+	d.lost.fire()
 	for d.tomb.Alive() {
 		if time.Now().Before(d.Lease.LeaseUntil()) {
 			d.Control.Lost(ctx, d.upstream.ID, d.epoch)
--- a/internal/disp/role.go
+++ b/internal/disp/role.go
@@ -1,6 +1,10 @@
 package disp
 
-import "lovagelink.example/lovagelink/internal/state"
+import (
+	"time"
+
+	"lovagelink.example/lovagelink/internal/state"
+)
 
 // Role is one upstream of which this host is the dispatcher, with the slots that it owns.
 type Role struct {
@@ -8,6 +12,7 @@
 	Exclusive bool // some work of the service must not repeat
 	Floors    []float64
 	Slots     map[int]state.Slot
+	Before    string // a host that is up and has dispatched until now
 }
 
 // share is one slot of the upstream as its dispatcher sees it.
@@ -17,13 +22,14 @@
 	ready  chan struct{} // closes once earlier requests of the slot are known
 	gone   chan struct{} // closes when the slot is to be handed over or has been taken away
 	moving bool
-	active int // requests that were sent and are not answered
-	count  int // requests since the last report
-	gap    bool
+	active int       // requests that were sent and are not answered
+	count  int       // requests since the last report
+	since  time.Time // when this host took the slot over
+	gap    bool      // what earlier requests became of is not wholly known
 }
 
-func newShare(number int, epoch uint64) *share {
-	return &share{number: number, epoch: epoch, ready: make(chan struct{}), gone: make(chan struct{})}
+func newShare(now time.Time, number int, epoch uint64) *share {
+	return &share{since: now, number: number, epoch: epoch, ready: make(chan struct{}), gone: make(chan struct{})}
 }
 
 // leave begins the handing over.
@@ -42,3 +48,9 @@
 		return false
 	}
 }
+
+// after returns the role with the host that has dispatched before.
+func (r Role) after(host string) Role {
+	r.Before = host
+	return r
+}
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"lovagelink.example/lovagelink/pkg/queue"
@@ -18,6 +19,9 @@
 	reasonLate      = "the deadline would pass before the request is done"
 )
 
+// searchPause lies between two questions to other hosts about an earlier request.
+const searchPause = 100 * time.Millisecond
+
 // Run carries a request through: history, queue, start, answer.
 func (d *Dispatcher) Run(ctx context.Context, r Request) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
@@ -65,7 +69,10 @@
 // join waits for the outcome of an earlier request.
 func (d *Dispatcher) join(ctx context.Context, one *record, r Request) Outcome {
 	d.Stats.Joined.Add(1)
-	_ = d.Witness.Start(ctx, r)
+	_, _ = d.Witness.Start(ctx, r)
+	if d.Book.isOpen(one) && !d.search(ctx, one, r) {
+		return unknown("an earlier attempt was started and its outcome was lost")
+	}
 	select {
 	case <-one.done:
 	case <-ctx.Done():
@@ -74,11 +81,34 @@
 	return d.Book.outcome(one, r)
 }
 
-func (d *Dispatcher) first(ctx context.Context, s *share, r Request) Outcome {
-	if r.Started {
-		return unknown("an earlier attempt was started and its outcome was lost")
+// search asks the other hosts how an earlier request has ended that one of them has started, as long
+// as one still has it under way.
+func (d *Dispatcher) search(ctx context.Context, one *record, r Request) bool {
+	for ctx.Err() == nil {
+		notes := d.Historian.Find(ctx, r.Service, r.ID)
+		d.Book.Import(time.Now(), notes)
+		if !d.Book.isOpen(one) {
+			return true
+		}
+		if !slices.ContainsFunc(notes, func(note Note) bool { return note.Running }) {
+			return false
+		}
+		pause(ctx, searchPause)
 	}
-	if r.Resend && s.gap {
+	return false
+}
+
+func pause(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Dispatcher) first(ctx context.Context, s *share, r Request) Outcome {
+	if s.gap && (r.Started || r.Age > time.Since(s.since)) {
 		return unknown("the hosts that knew of earlier attempts are lost")
 	}
 	return d.attempt(ctx, s, r)
@@ -96,11 +126,12 @@
 	if r.Idempotent {
 		return d.send(ctx, s, r)
 	}
-	if err := d.Witness.Start(ctx, r); err != nil {
+	noted, err := d.Witness.Start(ctx, r)
+	if err != nil {
 		return notRun(reasonWithdrawn)
 	}
 	outcome := d.sendStarted(ctx, s, r)
-	d.Witness.Finished(r, outcome)
+	d.Witness.Finished(r, noted, outcome)
 	return outcome
 }
 
--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -19,8 +19,8 @@
 
 // Limits of an answer and of a connection to an upstream.
 const (
-	maxAnswer   = 16 << 20 // bytes
-	idleTimeout = 30 * time.Second
+	maxAnswer   = 16 << 20               // bytes
+	idleTimeout = 250 * time.Millisecond // one that is idle for longer may have gone silent
 )
 
 func newClient(network peer.Network, connections int) *http.Client {
@@ -51,11 +51,39 @@
 		return refused(http.StatusBadRequest, err.Error(), 0)
 	}
 	d.Stats.Sent.Add(1)
+	request, stop := d.guard(request, r)
+	defer stop()
 	outcome := d.exchange(request, r)
 	d.settlePace(began, time.Now(), outcome)
 	return outcome
 }
 
+// Patience with a request on a connection that may be silent, in times that a request takes.
+const (
+	suspectFactor = 10
+	suspectExtra  = 300 * time.Millisecond
+)
+
+// guard ends a request on a connection that may be silent, and an idempotent one when the upstream
+// is given up, since another one can serve it. Exclusive work waits for a true answer.
+func (d *Dispatcher) guard(request *http.Request, r Request) (*http.Request, func()) {
+	ctx, cancel := context.WithCancel(request.Context())
+	d.mu.Lock()
+	patience := suspectFactor*d.pace.service + suspectExtra
+	suspect := d.suspect
+	d.mu.Unlock()
+	stopSuspect := context.AfterFunc(suspect.ctx, func() { time.AfterFunc(patience, cancel) })
+	stopLost := func() bool { return true }
+	if r.Idempotent {
+		stopLost = context.AfterFunc(d.lost.ctx, cancel)
+	}
+	return request.WithContext(ctx), func() {
+		stopSuspect()
+		stopLost()
+		cancel()
+	}
+}
+
 // build makes the request to the upstream. Its body can't be rewound, so that the library never
 // sends it a second time on its own.
 func (d *Dispatcher) build(ctx context.Context, now time.Time, s *share, r Request) (*http.Request, error) {
--- a/internal/disp/set.go
+++ b/internal/disp/set.go
@@ -77,7 +77,7 @@
 			s.disps[id] = d
 			d.Start()
 		}
-		d.Sync(role)
+		d.Sync(now, role)
 	}
 }
 
@@ -94,6 +94,9 @@
 				Upstream: *u, Exclusive: service.HasExclusive(),
 				Floors: st.Config.Floors(), Slots: make(map[int]state.Slot),
 			}
+			if st.IsUp(u.Before) {
+				roles[id] = roles[id].after(u.Before.Host)
+			}
 		}
 		for _, table := range st.Tables {
 			for number, slot := range table.Slots {
@@ -117,6 +120,16 @@
 	return d.Run(ctx, r)
 }
 
+// Retire ends the dispatcher of an upstream here if another host has taken over under a higher epoch.
+func (s *Set) Retire(upstream string, epoch uint64) {
+	s.mu.Lock()
+	d := s.disps[upstream]
+	s.mu.Unlock()
+	if d != nil && d.epoch < epoch {
+		d.close()
+	}
+}
+
 // Report adds to a heartbeat what the dispatchers know.
 func (s *Set) Report(now time.Time, withLoads bool, beat *ctrl.Beat) {
 	s.mu.Lock()
--- a/internal/disp/wire.go
+++ b/internal/disp/wire.go
@@ -25,7 +25,7 @@
 	Idempotent bool          `json:"idempotent"`
 	Left       time.Duration `json:"left"`    // time until the deadline
 	Started    bool          `json:"started"` // an earlier attempt may have been sent
-	Resend     bool          `json:"resend"`  // the caller says that it has sent the request before
+	Age        time.Duration `json:"age"`     // since the caller sent the request for the first time
 }
 
 // Outcome is what became of a request.
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -104,11 +104,7 @@
 func (r *reporter) Report(now time.Time, withLoads bool) ctrl.Beat {
 	h := r.host
 	beat := ctrl.Beat{Zone: h.settings.Zone, Incarnation: r.incarnation}
-	select {
-	case <-h.leaving:
-		beat.Leaving = true
-	default:
-	}
+	beat.Leaving = h.isLeaving()
 	h.feed.Read(func(s *state.State) { beat.Announced = h.heard.unknown(now, s) })
 	h.disps.Report(now, withLoads, &beat)
 	return beat
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -5,20 +5,23 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
+	"slices"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/disp"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/place"
 	"lovagelink.example/lovagelink/pkg/verd"
 )
 
 // Periods of forwarding.
 const (
-	retryPause  = 10 * time.Millisecond // doubles with each retry
-	maxPause    = 160 * time.Millisecond
-	replyMargin = 20 * time.Millisecond // for a dispatcher's refusal to come before the deadline
-	askTimeout  = 200 * time.Millisecond
+	retryPause   = 10 * time.Millisecond // doubles with each retry
+	maxPause     = 160 * time.Millisecond
+	answerMargin = 30 * time.Millisecond // for the last answer to reach the caller in time
+	replyMargin  = 20 * time.Millisecond // for a dispatcher's refusal to come before the deadline
+	askTimeout   = 200 * time.Millisecond
 )
 
 // forward brings a request to the dispatcher of its slot's owner, again and again within its
@@ -101,7 +104,62 @@
 		h.attempts.withdraw(r.Token)
 		return outcome
 	}
-	return h.tryRemote(ctx, p, host, r)
+	if h.hub.IsLinked(host) {
+		return h.tryRemote(ctx, p, host, r)
+	}
+	h.attempts.withdraw(r.Token)
+	if p.isDetour {
+		return unreachable()
+	}
+	return h.detour(ctx, p, host)
+}
+
+// detour has another entry host carry a request to a dispatcher that this one has no link to.
+func (h *Host) detour(ctx context.Context, p *parsed, host string) disp.Outcome {
+	via := place.Best(p.ID, slices.DeleteFunc(h.linked(func(string) bool { return true }), func(name string) bool {
+		return name == host
+	}))
+	if via == "" {
+		return unreachable()
+	}
+	r := p.Request
+	r.Left = time.Until(p.deadline) - replyMargin
+	outcome, err := peer.Call[disp.Outcome](ctx, h.hub, via, "detour", r)
+	if err != nil {
+		p.Started = !p.Idempotent
+		return disp.Outcome{
+			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
+			Reason: "the link to the host in between was lost",
+		}
+	}
+	return outcome
+}
+
+// serveDetour carries a request of another entry host.
+func (h *Host) serveDetour(ctx context.Context, _ string, r disp.Request) (disp.Outcome, error) {
+	p := &parsed{Request: r, isFirst: r.Age == 0, deadline: time.Now().Add(r.Left), isDetour: true}
+	p.Origin = h.settings.Name
+	ctx, cancel := context.WithDeadline(ctx, p.deadline)
+	defer cancel()
+	return h.try(ctx, p), nil
+}
+
+// linked lists the hosts that this one has a link to.
+func (h *Host) linked(isWanted func(host string) bool) []string {
+	var names []string
+	for _, host := range h.hub.Hosts() {
+		if h.hub.IsLinked(host) && isWanted(host) {
+			names = append(names, host)
+		}
+	}
+	return names
+}
+
+func unreachable() disp.Outcome {
+	return disp.Outcome{
+		Verdict: verd.NotRun, Status: http.StatusServiceUnavailable, Retry: true,
+		Reason: "the dispatcher could not be reached",
+	}
 }
 
 // tryRemote makes an attempt through another host's dispatcher.
@@ -129,10 +187,7 @@
 			Reason: "the link to the dispatcher was lost after the request was sent",
 		}
 	}
-	return disp.Outcome{
-		Verdict: verd.NotRun, Status: http.StatusServiceUnavailable, Retry: true,
-		Reason: "the dispatcher could not be reached",
-	}
+	return unreachable()
 }
 
 // lookup returns the owner of a slot and the host that dispatches for it.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -23,6 +24,7 @@
 // Headers between callers and entry hosts.
 const (
 	headerAttempt  = "Request-Attempt" // 1 for the first time that a request is sent
+	headerAge      = "Request-Age"     // milliseconds since then
 	headerRepeated = "Lovagelink-Repeated"
 	headerReason   = "Lovagelink-Reason"
 )
@@ -37,12 +39,20 @@
 type parsed struct {
 	disp.Request
 	isFirst  bool // the caller says that it has not sent the request before
+	isDetour bool // another entry host has sent it here
 	deadline time.Time
 }
 
 // ServeHTTP answers a caller.
 func (h *Host) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == readyPath {
+		h.serveReady(w)
+		return
+	}
 	h.stats.Requests.Add(1)
+	if h.isLeaving() {
+		w.Header().Set("Connection", "close")
+	}
 	now := time.Now()
 	p, fault := h.parse(now, request)
 	if fault == nil {
@@ -95,11 +105,15 @@
 	if fault != nil {
 		return nil, fault
 	}
-	p := &parsed{isFirst: request.Header.Get(headerAttempt) == "1", deadline: now.Add(rule.Deadline)}
+	p := &parsed{isFirst: request.Header.Get(headerAttempt) == "1", deadline: now.Add(rule.Deadline - answerMargin)}
+	age, err := strconv.ParseInt(request.Header.Get(headerAge), 10, 64)
+	if err != nil && !p.isFirst {
+		age = math.MaxInt64 / int64(time.Second)
+	}
 	p.Request = disp.Request{
 		Service: service.Name, Key: key, Slot: place.Slot(key, service.Slots), ID: id,
 		Method: request.Method, Path: request.URL.RequestURI(), Header: passedOn(request.Header),
-		Rank: s.Config.RankOf(rule.Rank), Idempotent: rule.Idempotent, Resend: !p.isFirst,
+		Rank: s.Config.RankOf(rule.Rank), Idempotent: rule.Idempotent, Age: time.Duration(age) * time.Millisecond,
 	}
 	return p, checkLength(service, request)
 }
@@ -169,7 +183,7 @@
 		copied.Del(name)
 	}
 	for name := range copied {
-		if strings.HasPrefix(name, "Lovagelink-") || name == headerAttempt {
+		if strings.HasPrefix(name, "Lovagelink-") || name == headerAttempt || name == headerAge {
 			copied.Del(name)
 		}
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -26,6 +28,16 @@
 // stopPatience bounds how long a stopping host waits for its requests to end.
 const stopPatience = 15 * time.Second
 
+// readyPath is where the platform's balancer asks whether to send callers to this host.
+const readyPath = "/lovagelink/ready"
+
+// Periods of the start and the stop of a host.
+const (
+	stateMaxWait    = 3 * time.Second
+	stateCheckPause = 20 * time.Millisecond
+	leavePeriod     = time.Second // in which callers' connections are closed after an answer
+)
+
 // headerTimeout bounds how long a connection may take to send the head of a request.
 const headerTimeout = 10 * time.Second
 
@@ -48,9 +60,13 @@
 	heard    *heard
 	stats    Stats
 	dispatch disp.Stats
-	servers  []*http.Server
 	tomb     tomb.Tomb
 	leaving  chan struct{}
+	began    time.Time
+	restored atomic.Bool // the book holds all that other hosts knew
+
+	mu      sync.Mutex
+	servers []*http.Server
 }
 
 // New returns the host that the settings describe; Start sets it to work.
@@ -71,6 +87,7 @@
 		retries:  newBudget(),
 		heard:    newHeard(),
 		leaving:  make(chan struct{}),
+		began:    now,
 	}
 	addresses := make(map[string]netip.AddrPort)
 	for _, other := range settings.Hosts {
@@ -136,31 +153,87 @@
 	}
 	h.client.Start()
 	h.disps.Start()
-	for _, door := range []struct {
-		name    string
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		{"callers", h.settings.Callers, h},
-		{"upstreams", h.settings.Upstreams, h.upstreamMux()},
-		{"operators", h.settings.Operators, h.operatorMux()},
-	} {
-		if err := h.open(door.address, door.handler); err != nil {
-			h.Kill()
-			return trace.Wrap(err, "address for %s; is another process using it?", door.name)
-		}
+	if err := h.openDoors(); err != nil {
+		h.Kill()
+		return err
 	}
 	h.tomb.Go(h.watchState)
+	h.tomb.Go(h.openCallers)
 	h.note("host-started", "", "")
 	return nil
 }
 
+// openDoors opens the addresses for upstreams and operators, and makes sure that the one for
+// callers is free.
+func (h *Host) openDoors() error {
+	if err := h.open(h.settings.Upstreams, h.upstreamMux()); err != nil {
+		return trace.Wrap(err, "address for upstreams; is another process using it?")
+	}
+	if err := h.open(h.settings.Operators, h.operatorMux()); err != nil {
+		return trace.Wrap(err, "address for operators; is another process using it?")
+	}
+	listener, err := h.network.Listen(h.settings.Callers)
+	if err != nil {
+		return trace.Wrap(err, "address for callers; is another process using it?")
+	}
+	return listener.Close()
+}
+
+// openCallers opens the address for callers once this host knows what the leader knows. A host that
+// is cut off from the leader serves from what it has after a while.
+func (h *Host) openCallers() error {
+	began := time.Now()
+	for h.tomb.Alive() && !h.isLeaving() {
+		hasWaited := time.Since(began) > stateMaxWait && h.hasConfig()
+		if h.client.IsCurrent() || hasWaited {
+			h.restored.Store(h.restoreBook(h.tomb.Context(context.Background())))
+			return h.open(h.settings.Callers, h)
+		}
+		timer := time.NewTimer(stateCheckPause)
+		select {
+		case <-timer.C:
+		case <-h.tomb.Dying():
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+func (h *Host) hasConfig() bool {
+	has := false
+	h.feed.Read(func(s *state.State) { has = s.Version > 0 })
+	return has
+}
+
+func (h *Host) isLeaving() bool {
+	select {
+	case <-h.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// serveReady tells the platform's balancer whether to send callers here.
+func (h *Host) serveReady(w http.ResponseWriter) {
+	if h.isLeaving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 func (h *Host) open(address netip.AddrPort, handler http.Handler) error {
 	listener, err := h.network.Listen(address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.tomb.Alive() {
+		return listener.Close()
+	}
 	h.servers = append(h.servers, server)
 	h.tomb.Go(func() error { return serve(server, listener) })
 	return nil
@@ -182,19 +255,28 @@
 	close(h.leaving)
 	h.client.Nudge()
 	h.awaitNoRoles(ctx)
-	for _, server := range h.servers {
+	awaitPeriod(ctx, leavePeriod)
+	h.handOverBook(ctx)
+	for _, server := range h.doors() {
 		_ = server.Shutdown(ctx)
 	}
 	h.Kill()
 }
 
+func (h *Host) doors() []*http.Server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.servers)
+}
+
 // awaitNoRoles waits until other hosts have taken over and the work here has ended.
 func (h *Host) awaitNoRoles(ctx context.Context) {
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		hasNoRoles := len(h.disps.Health(now)) == 0 || h.isLastHost()
+		hasLease := now.Before(h.client.LeaseUntil())
+		hasNoRoles := len(h.disps.Health(now)) == 0 || !hasLease || h.isLastHost()
 		if hasNoRoles && h.running.len() == 0 && h.disps.Busy(now) == 0 {
 			return
 		}
@@ -206,6 +288,15 @@
 	}
 }
 
+func awaitPeriod(ctx context.Context, period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // isLastHost reports whether no other host is left to take over.
 func (h *Host) isLastHost() bool {
 	others := 0
@@ -222,7 +313,7 @@
 // Kill ends the host at once, as a crash would.
 func (h *Host) Kill() {
 	h.tomb.Kill(nil)
-	for _, server := range h.servers {
+	for _, server := range h.doors() {
 		_ = server.Close()
 	}
 	h.disps.Stop()
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -11,7 +11,7 @@
 )
 
 // witnessTimeout bounds how long a request waits for one host to note its start.
-const witnessTimeout = 150 * time.Millisecond
+const witnessTimeout = 300 * time.Millisecond
 
 // startArgs asks an entry host whether an attempt may be sent.
 type startArgs struct {
@@ -21,8 +21,16 @@
 
 // historyArgs asks for what a host knows of earlier requests.
 type historyArgs struct {
-	Service string `json:"service"`
-	Slots   []int  `json:"slots"`
+	Upstream string `json:"upstream"`
+	Epoch    uint64 `json:"epoch"` // of the dispatcher that asks
+	Service  string `json:"service"`
+	Slots    []int  `json:"slots"`
+}
+
+// historyReply is what a host knows; Young says that it may have lost some of it by a restart.
+type historyReply struct {
+	Notes []disp.Note `json:"notes"`
+	Young bool        `json:"young"`
 }
 
 // traceArgs asks whether a host knows of a request.
@@ -36,60 +44,59 @@
 	*Host
 }
 
+// traceReply is what a host knows of a request.
+type traceReply struct {
+	Known bool      `json:"known"`
+	Note  disp.Note `json:"note"`
+}
+
 func noteOf(r disp.Request) disp.Note {
 	return disp.Note{Service: r.Service, Slot: r.Slot, ID: r.ID, Print: r.Print}
 }
 
 // Start asks the entry host of a request before it is sent. With the dispatcher on the entry host
 // itself, another host notes the start, so that no single loss hides it.
-func (h witness) Start(ctx context.Context, r disp.Request) error {
+func (h witness) Start(ctx context.Context, r disp.Request) (string, error) {
 	if r.Origin != h.settings.Name {
-		_, err := peer.Call[bool](ctx, h.hub, r.Origin, "start", startArgs{Token: r.Token, Note: noteOf(r)})
-		return err
+		_, err := callSoon[bool](ctx, h.hub, r.Origin, "start", startArgs{Token: r.Token, Note: noteOf(r)})
+		return r.Origin, err
 	}
 	if err := h.attempts.start(r.Token); err != nil {
-		return err
+		return "", err
 	}
 	for _, host := range h.witnesses(r.ID) {
-		callCtx, cancel := context.WithTimeout(ctx, witnessTimeout)
-		_, err := peer.Call[bool](callCtx, h.hub, host, "witness", noteOf(r))
-		cancel()
+		_, err := callSoon[bool](ctx, h.hub, host, "witness", noteOf(r))
 		if err == nil || ctx.Err() != nil {
-			break
+			return host, ctx.Err()
 		}
 	}
-	return ctx.Err()
+	return "", ctx.Err()
+}
+
+// callSoon bounds a call for which a request at the head of the queue waits.
+func callSoon[R any](ctx context.Context, hub *peer.Hub, host, method string, args any) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	return peer.Call[R](ctx, hub, host, method, args)
 }
 
 // Finished tells the host that has noted a start how the request ended.
-func (h witness) Finished(r disp.Request, outcome disp.Outcome) {
-	if r.Origin != h.settings.Name {
-		return
-	}
-	for _, host := range h.witnesses(r.ID) {
-		note := noteOf(r)
-		note.Outcome = &outcome
-		_ = h.hub.Notify(context.Background(), host, "witness", note)
+func (h witness) Finished(r disp.Request, noted string, outcome disp.Outcome) {
+	if r.Origin != h.settings.Name || noted == "" {
 		return
 	}
+	note := noteOf(r)
+	note.Outcome = &outcome
+	_ = h.hub.Notify(context.Background(), noted, "witness", note)
 }
 
 // witnesses lists the linked hosts that may note the start of a request, the preferred one first.
 func (h *Host) witnesses(id string) []string {
-	var linked []string
-	for _, host := range h.hub.Hosts() {
-		if h.zones[host] == h.settings.Zone && h.hub.IsLinked(host) {
-			linked = append(linked, host)
-		}
+	near := h.linked(func(host string) bool { return h.zones[host] == h.settings.Zone })
+	if len(near) > 0 {
+		return place.Rank(id, near)
 	}
-	if len(linked) == 0 {
-		for _, host := range h.hub.Hosts() {
-			if h.hub.IsLinked(host) {
-				linked = append(linked, host)
-			}
-		}
-	}
-	return place.Rank(id, linked)
+	return place.Rank(id, h.linked(func(string) bool { return true }))
 }
 
 // noteOutcome keeps the outcome of an exclusive request that another host has dispatched.
@@ -100,37 +107,86 @@
 }
 
 // Collect asks all hosts that are up what they know of earlier requests of some slots.
-func (h *Host) Collect(ctx context.Context, service string, slots []int) ([]disp.Note, bool) {
+func (h *Host) Collect(ctx context.Context, upstream string, epoch uint64, service string, slots []int) disp.History {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	args := historyArgs{Service: service, Slots: slots}
-	answers := askAll[[]disp.Note](ctx, h, "history", args)
-	var notes []disp.Note
-	lost := 0
-	for _, answer := range answers {
+	history := disp.History{Answered: make(map[string]bool)}
+	if h.isYoung(time.Now()) {
+		history.Missing++
+	}
+	args := historyArgs{Upstream: upstream, Epoch: epoch, Service: service, Slots: slots}
+	for _, answer := range askAll[historyReply](ctx, h, "history", args) {
+		if answer.err != nil || answer.value.Young {
+			history.Missing++
+		}
+		if answer.err == nil {
+			history.Answered[answer.host] = true
+			history.Notes = append(history.Notes, answer.value.Notes...)
+		}
+	}
+	return history
+}
+
+// isYoung reports whether this host may have known of requests before it was restarted that it does
+// not know of now.
+func (h *Host) isYoung(now time.Time) bool {
+	return !h.restored.Load() && now.Sub(h.began) < disp.KeepOutcomes
+}
+
+// restoreBook asks the other hosts for all that they know of exclusive requests, so that each one is
+// known to two hosts again. It reports whether all of them have answered.
+func (h *Host) restoreBook(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	isWhole := true
+	for _, answer := range askAll[[]disp.Note](ctx, h, "book", struct{}{}) {
 		if answer.err != nil {
-			lost++
+			isWhole = false
 			continue
 		}
-		notes = append(notes, answer.value...)
+		h.book.Import(time.Now(), answer.value)
+	}
+	return isWhole
+}
+
+// handOverBook gives all that this host knows of exclusive requests to another one.
+func (h *Host) handOverBook(ctx context.Context) {
+	for _, host := range h.witnesses(h.settings.Name) {
+		if _, err := peer.Call[bool](ctx, h.hub, host, "inherit", h.book.ExportAll()); err == nil {
+			return
+		}
 	}
-	return notes, lost <= 1 // each request is known to two hosts
 }
 
 // hasTrace reports whether an exclusive request may have been started by way of another host.
 func (h *Host) hasTrace(p *parsed) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	for _, answer := range askAll[bool](ctx, h, "trace", traceArgs{Service: p.Service, ID: p.ID}) {
-		if answer.err != nil || answer.value {
+	for _, answer := range askAll[traceReply](ctx, h, "trace", traceArgs{Service: p.Service, ID: p.ID}) {
+		if answer.err != nil || answer.value.Known {
 			return true
 		}
 	}
-	return h.book.Knows(p.Service, p.ID)
+	_, known := h.book.Find(p.Service, p.ID)
+	return known
+}
+
+// Find asks all other hosts about one request.
+func (h *Host) Find(ctx context.Context, service, id string) []disp.Note {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var notes []disp.Note
+	for _, answer := range askAll[traceReply](ctx, h, "trace", traceArgs{Service: service, ID: id}) {
+		if answer.err == nil && answer.value.Known {
+			notes = append(notes, answer.value.Note)
+		}
+	}
+	return notes
 }
 
 // answer is what one host has said.
 type answer[R any] struct {
+	host  string
 	value R
 	err   error
 }
@@ -143,7 +199,7 @@
 	for i, host := range hosts {
 		group.Go(func() {
 			value, err := peer.Call[R](ctx, h.hub, host, method, args)
-			answers[i] = answer[R]{value, err}
+			answers[i] = answer[R]{host, value, err}
 		})
 	}
 	group.Wait()
@@ -174,6 +230,7 @@
 		defer h.running.remove(r.Token)
 		return h.disps.Run(ctx, r), nil
 	})
+	peer.On(h.hub, "detour", h.serveDetour)
 	peer.On(h.hub, "cancel", func(_ context.Context, _ string, token string) (bool, error) {
 		h.running.cancel(token)
 		return true, nil
@@ -189,10 +246,20 @@
 		h.book.Witness(time.Now(), note)
 		return true, nil
 	})
-	peer.On(h.hub, "history", func(_ context.Context, _ string, args historyArgs) ([]disp.Note, error) {
-		return h.book.Export(args.Service, args.Slots), nil
+	peer.On(h.hub, "history", func(_ context.Context, _ string, args historyArgs) (historyReply, error) {
+		h.disps.Retire(args.Upstream, args.Epoch)
+		notes := h.book.Export(args.Service, args.Slots)
+		return historyReply{Notes: notes, Young: h.isYoung(time.Now())}, nil
+	})
+	peer.On(h.hub, "book", func(context.Context, string, struct{}) ([]disp.Note, error) {
+		return h.book.ExportAll(), nil
+	})
+	peer.On(h.hub, "inherit", func(_ context.Context, _ string, notes []disp.Note) (bool, error) {
+		h.book.Import(time.Now(), notes)
+		return true, nil
 	})
-	peer.On(h.hub, "trace", func(_ context.Context, _ string, args traceArgs) (bool, error) {
-		return h.book.Knows(args.Service, args.ID), nil
+	peer.On(h.hub, "trace", func(_ context.Context, _ string, args traceArgs) (traceReply, error) {
+		note, known := h.book.Find(args.Service, args.ID)
+		return traceReply{Known: known, Note: note}, nil
 	})
 }
--- /dev/null
+++ b/internal/fleet/failure_test.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/memnet"
+)
+
+// servedAgain is the target: a key is served again within this time of a loss.
+const servedAgain = 4 * time.Second
+
+// steadyRate is about a fifth of what the upstreams of Gauteng can do, in requests a second.
+const steadyRate = 200
+
+// maxInFlight is how many exclusive requests can be under way at the upstreams that a failure hits.
+const maxInFlight = 20
+
+// failure is something that befalls a fleet under load.
+type failure struct {
+	name   string
+	strike func(sc *scene)
+	calm   func(sc *scene) // ends it, 10 s later
+	cutOff bool            // some keys can't be served while it lasts
+}
+
+func (sc *scene) hostNamed(name string) int {
+	for i, settings := range sc.Settings {
+		if settings.Name == name {
+			return i
+		}
+	}
+	sc.t.Fatalf("no host %s", name)
+	return -1
+}
+
+func (sc *scene) leader() int {
+	return sc.hostNamed(sc.Hosts[0].Status(time.Now()).Leader)
+}
+
+// isolated cuts one zone off from all others; callers reach all zones.
+func isolated(zone string) func(from, to memnet.Place) bool {
+	return func(from, to memnet.Place) bool {
+		if from.Zone == "callers" || to.Zone == "callers" {
+			return false
+		}
+		return (from.Zone == zone) != (to.Zone == zone)
+	}
+}
+
+func apart(from, to memnet.Place) bool {
+	return from.Zone != to.Zone && from.Zone != "callers" && to.Zone != "callers"
+}
+
+func (sc *scene) zoneOf(i int) string { return sc.Settings[i].Zone }
+
+func restart(sc *scene, i int) {
+	if err := sc.Restart(time.Now(), i); err != nil {
+		sc.t.Error(err)
+	}
+}
+
+func failures() []failure {
+	killHost := func(pick func(sc *scene) int) func(sc *scene) {
+		return func(sc *scene) {
+			sc.victim = pick(sc)
+			sc.Hosts[sc.victim].Kill()
+		}
+	}
+	back := func(sc *scene) { restart(sc, sc.victim) }
+	return []failure{
+		{name: "upstream-lost", strike: func(sc *scene) { sc.Upstream("plan-03").Kill() }},
+		{
+			name:   "upstream-frozen",
+			strike: func(sc *scene) { sc.Upstream("plan-03").Freeze(true) },
+			calm:   func(sc *scene) { sc.Upstream("plan-03").Freeze(false) },
+		},
+		{name: "upstream-drains", strike: func(sc *scene) { sc.Upstream("plan-03").Drain() }},
+		{name: "dispatcher-lost", strike: killHost(func(sc *scene) int { return sc.hostNamed("b2") }), calm: back},
+		{name: "leader-lost", strike: killHost((*scene).leader), calm: back},
+		{
+			name: "leader-and-upstream-lost",
+			strike: func(sc *scene) {
+				sc.victim = sc.leader()
+				sc.Hosts[sc.victim].Kill()
+				sc.Upstream("plan-03").Kill()
+			},
+			calm: back,
+		},
+		{
+			name: "leader-zone-lost",
+			strike: func(sc *scene) {
+				zone := sc.zoneOf(sc.leader())
+				for i, host := range sc.Hosts {
+					if sc.zoneOf(i) == zone {
+						host.Kill()
+					}
+				}
+				for i, upstream := range sc.Upstreams {
+					if i%3 == int(zone[0]-'a') && i < 25 || i >= 25 && (i-25)%3 == int(zone[0]-'a') {
+						upstream.Kill()
+					}
+				}
+			},
+		},
+		{
+			name:   "zone-cut",
+			strike: func(sc *scene) { sc.net.Cut(isolated("b")) },
+			calm:   func(sc *scene) { sc.net.Heal() },
+			cutOff: true,
+		},
+		{
+			name:   "leader-zone-cut",
+			strike: func(sc *scene) { sc.net.Cut(isolated(sc.zoneOf(sc.leader()))) },
+			calm:   func(sc *scene) { sc.net.Heal() },
+			cutOff: true,
+		},
+		{
+			name:   "all-zones-cut",
+			strike: func(sc *scene) { sc.net.Cut(apart) },
+			calm:   func(sc *scene) { sc.net.Heal() },
+			cutOff: true,
+		},
+		{
+			name: "connections-silent",
+			strike: func(sc *scene) {
+				sc.net.Silence(func(from, to memnet.Place) bool { return from.Zone != "callers" && to.Zone != "callers" })
+			},
+		},
+		{
+			name: "one-way-cut",
+			strike: func(sc *scene) {
+				sc.net.Cut(func(from, to memnet.Place) bool { return from.Owner == "c1" && to.Owner == "a1" })
+			},
+			calm: func(sc *scene) { sc.net.Heal() },
+		},
+		{
+			name: "rolling-restart",
+			strike: func(sc *scene) {
+				for i := range sc.Hosts {
+					sc.Hosts[i].Stop(context.Background())
+					restart(sc, i)
+					time.Sleep(time.Second)
+				}
+			},
+		},
+	}
+}
+
+// Under each failure every promise holds, and keys are served again within the target.
+func TestFailures(t *testing.T) {
+	for _, f := range failures() {
+		for _, checks := range []bool{true, false} {
+			name := f.name + "/checking-upstreams"
+			if !checks {
+				name = f.name + "/trusting-upstreams"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				in(t, func(t *testing.T) { runFailure(t, f, checks) })
+			})
+		}
+	}
+}
+
+func runFailure(t *testing.T, f failure, checks bool) {
+	s := gautengSetup()
+	s.checks = checks
+	sc := open(t, s)
+	sc.load(load.Gauteng(), steadyRate, 20*time.Second)
+	time.Sleep(3 * time.Second)
+	f.strike(sc)
+	time.Sleep(10 * time.Second)
+	if f.calm != nil {
+		f.calm(sc)
+	}
+	result := sc.judge()
+	for _, tally := range result.Tallies {
+		longest := time.Duration(tally.Latency.Max()) * time.Microsecond
+		t.Logf("%s: longest %v", tally.Call.Name, longest)
+		if !f.cutOff && longest > servedAgain {
+			t.Errorf("%s: a key was not served for %v", tally.Call.Name, longest)
+		}
+		if !f.cutOff && !tally.Call.Exclusive && tally.Served != tally.Sent {
+			t.Errorf("%s: %d of %d served", tally.Call.Name, tally.Served, tally.Sent)
+		}
+		if !f.cutOff && tally.Unknown > maxInFlight {
+			t.Errorf("%s: the outcome of %d is unknown", tally.Call.Name, tally.Unknown)
+		}
+	}
+}
--- a/internal/demo/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,4 +1,4 @@
-package demo
+package fleet
 
 import (
 	"context"
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -33,10 +32,11 @@
 	Zones   []string
 	Hosts   int // spread over the zones in turn
 	Groups  []Group
-	Config  string
 	Folder  string
-	Checks  bool
+	Checks  bool                           // upstreams refuse orders without a valid grant
 	Address func() (netip.AddrPort, error) // the next free address
+	Network func(zone, owner string) peer.Network
+	Logger  log.Logger
 }
 
 // Fleet is a running deployment.
@@ -46,18 +46,17 @@
 	Upstreams []*upsim.Upstream
 	IDs       []string // of the upstreams
 	Ledger    *upsim.Ledger
-	network   peer.Network
-	logger    log.Logger
+	plan      Plan
 }
 
 // Build lays a deployment out; Start sets it to work.
-func Build(now time.Time, plan Plan, network peer.Network, logger log.Logger) (*Fleet, error) {
-	f := &Fleet{Ledger: &upsim.Ledger{}, network: network, logger: logger}
+func Build(now time.Time, plan Plan) (*Fleet, error) {
+	f := &Fleet{Ledger: &upsim.Ledger{}, plan: plan}
 	if err := f.layOut(plan); err != nil {
 		return nil, err
 	}
-	for _, settings := range f.Settings {
-		host, err := entry.New(now, settings, network, logger)
+	for i := range f.Settings {
+		host, err := f.newHost(now, i)
 		if err != nil {
 			return nil, err
 		}
@@ -66,6 +65,21 @@
 	return f, f.addUpstreams(now, plan)
 }
 
+func (f *Fleet) newHost(now time.Time, i int) (*entry.Host, error) {
+	settings := f.Settings[i]
+	return entry.New(now, settings, f.plan.Network(settings.Zone, settings.Name), f.plan.Logger)
+}
+
+// Restart starts a host anew that was killed or stopped.
+func (f *Fleet) Restart(now time.Time, i int) error {
+	host, err := f.newHost(now, i)
+	if err != nil {
+		return err
+	}
+	f.Hosts[i] = host
+	return host.Start()
+}
+
 // layOut writes the settings of all hosts; the first host of each zone holds a replica.
 func (f *Fleet) layOut(plan Plan) error {
 	var peers []conf.Peer
@@ -111,7 +125,7 @@
 				Keyed: group.Keyed, Work: group.Work, AnswerBytes: 2048, Entries: f.doors(zone),
 			}
 			f.IDs = append(f.IDs, settings.ID)
-			f.Upstreams = append(f.Upstreams, upsim.New(now, settings, f.network, f.Ledger))
+			f.Upstreams = append(f.Upstreams, upsim.New(now, settings, plan.Network(zone, settings.ID), f.Ledger))
 		}
 	}
 	return nil
@@ -224,8 +238,3 @@
 		return netip.AddrPort{}, errors.New("no free port on loopback")
 	}
 }
-
-// TempFolder returns a new folder for the replicas' data.
-func TempFolder() (string, error) {
-	return os.MkdirTemp("", "lovagelink-demo-")
-}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lovagelink.example/lovagelink/examples"
+	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/memnet"
+	"lovagelink.example/lovagelink/internal/peer"
+)
+
+// zoneDelay is the one-way delay between zones, and of a caller to a zone.
+const zoneDelay = 1500 * time.Microsecond
+
+func delayOf(from, to memnet.Place) time.Duration {
+	if from.Zone == to.Zone {
+		return 100 * time.Microsecond
+	}
+	return zoneDelay
+}
+
+// scene is a fleet on a network in memory, under load.
+type scene struct {
+	*Fleet
+	t      *testing.T
+	net    *memnet.Net
+	result *load.Result
+	done   chan struct{}
+	began  time.Time
+	victim int // the host that was killed
+}
+
+// setup is how a scene begins.
+type setup struct {
+	config string
+	hosts  int
+	groups []Group
+	checks bool
+}
+
+func gautengSetup() setup {
+	return setup{config: examples.Gauteng, hosts: 10, groups: Gauteng(), checks: true}
+}
+
+func open(t *testing.T, s setup) *scene {
+	t.Helper()
+	network := memnet.New(delayOf)
+	f, err := Build(time.Now(), Plan{
+		Zones: []string{"a", "b", "c"}, Hosts: s.hosts, Groups: s.groups, Folder: t.TempDir(), Checks: s.checks,
+		Address: network.Address,
+		Network: func(zone, owner string) peer.Network { return network.At(zone, owner) },
+		Logger:  log.NewNopLogger(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sc := &scene{Fleet: f, t: t, net: network, done: make(chan struct{})}
+	t.Cleanup(f.Stop)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := f.Start(ctx, s.config); err != nil {
+		t.Fatal(err)
+	}
+	return sc
+}
+
+// load begins to send requests from callers in all zones.
+func (sc *scene) load(shape load.Shape, rate float64, period time.Duration) {
+	runner := load.New(load.Settings{
+		Shape: shape, Rate: rate, Period: period, Entries: sc.Entries(), Seed: 1,
+	}, sc.net.At("callers", "caller"))
+	sc.began = time.Now()
+	go func() {
+		sc.result = runner.Run(context.Background())
+		close(sc.done)
+	}()
+}
+
+// judge waits for the load to end and checks every promise.
+func (sc *scene) judge() *load.Result {
+	sc.t.Helper()
+	<-sc.done
+	verdict := sc.result.Judge(sc.Ledger.Runs())
+	for _, tally := range sc.result.Tallies {
+		sc.t.Logf("%-12s sent %5d served %5d on target %5d refused %4d unknown %4d resent %4d p50 %v p99 %v",
+			tally.Call.Name, tally.Sent, tally.Served, tally.OnTarget, tally.Refused, tally.Unknown, tally.Resent,
+			tally.Percentile(50), tally.Percentile(99))
+		if tally.Served+tally.Refused+tally.Unknown != tally.Sent {
+			sc.t.Errorf("%s: fates do not add up", tally.Call.Name)
+		}
+	}
+	for reason, count := range sc.result.Reasons {
+		sc.t.Logf("%d %s", count, reason)
+	}
+	for _, one := range sc.result.Failures[:min(len(sc.result.Failures), 5)] {
+		sc.t.Logf("%s %s due %v took %v: %s", one.Call, one.ID, one.Due.Sub(sc.began), one.Took, one.Reason)
+	}
+	if !verdict.OK() {
+		sc.t.Errorf("promises broken: %+v", verdict)
+	}
+	return sc.result
+}
+
+// in runs a scene in a bubble of exact time.
+func in(t *testing.T, test func(t *testing.T)) {
+	synctest.Test(t, test)
+}
+
+func TestSteady(t *testing.T) {
+	in(t, func(t *testing.T) {
+		sc := open(t, gautengSetup())
+		sc.load(load.Gauteng(), 200, 5*time.Second)
+		result := sc.judge()
+		for _, tally := range result.Tallies {
+			if tally.Served != tally.Sent {
+				t.Errorf("%s: %d of %d served", tally.Call.Name, tally.Served, tally.Sent)
+			}
+		}
+	})
+}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -25,18 +25,32 @@
 	Latency  *hdrhistogram.Histogram // of served requests, in microseconds
 }
 
+// maxFailures bounds the list of requests that were not served.
+const maxFailures = 200
+
+// Failure is a request that was not served.
+type Failure struct {
+	ID     string
+	Call   string
+	Due    time.Time
+	Took   time.Duration
+	Reason string
+}
+
 // Result is what a load run has seen.
 type Result struct {
 	mu        sync.Mutex
 	Tallies   []*Tally
 	Truncated int
 	Crossed   int
+	Reasons   map[string]int  // of requests that were not served
+	Failures  []Failure       // the first of them
 	notRun    map[string]bool // ids that were answered "not run"
 	ran       map[string]bool // ids that were answered "ran"
 }
 
 func newResult(shape Shape) *Result {
-	r := &Result{notRun: make(map[string]bool), ran: make(map[string]bool)}
+	r := &Result{Reasons: make(map[string]int), notRun: make(map[string]bool), ran: make(map[string]bool)}
 	for _, call := range shape.Calls {
 		r.Tallies = append(r.Tallies, &Tally{Call: call, Latency: hdrhistogram.New(1, maxLatency, 3)})
 	}
@@ -74,8 +88,18 @@
 		_ = tally.Latency.RecordValue(min(fate.took.Microseconds(), maxLatency))
 	case fate.answered && fate.verdict == verd.NotRun:
 		tally.Refused++
+		r.fail(call, id, fate)
 	default:
 		tally.Unknown++
+		r.fail(call, id, fate)
+	}
+}
+
+func (r *Result) fail(call Call, id string, fate fate) {
+	reason := fate.verdict.String() + ": " + fate.reason
+	r.Reasons[reason]++
+	if len(r.Failures) < maxFailures {
+		r.Failures = append(r.Failures, Failure{id, call.Name, fate.due, fate.took, reason})
 	}
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -36,10 +37,12 @@
 
 // fate is what became of one request.
 type fate struct {
+	due        time.Time
 	answered   bool
 	verdict    verd.Verdict
 	took       time.Duration
 	saidNotRun bool
+	reason     string
 	resent     int
 	truncated  int
 	crossed    int
@@ -95,13 +98,17 @@
 func (r *Runner) call(ctx context.Context, due time.Time, call Call, path, id string) fate {
 	ctx, cancel := context.WithDeadline(ctx, due.Add(call.Patience))
 	defer cancel()
-	var f fate
-	for attempt := 1; ; attempt++ {
-		r.attempt(ctx, call, path, id, attempt, &f)
+	f := fate{due: due}
+	first := time.Now()
+	for attempt := 1; ; {
+		wasSent := r.attempt(ctx, call, path, id, attempt, time.Since(first), &f)
 		isFinal := f.answered && f.verdict != verd.MayHaveRun
 		if isFinal || ctx.Err() != nil {
 			break
 		}
+		if wasSent {
+			attempt++
+		}
 		f.resent++
 		sleep(ctx, resendPause*time.Duration(attempt))
 	}
@@ -109,8 +116,9 @@
 	return f
 }
 
-// attempt sends the request once to an entry host picked at random, as a balancer would.
-func (r *Runner) attempt(ctx context.Context, call Call, path, id string, attempt int, f *fate) {
+// attempt sends the request once to an entry host picked at random, as a balancer would. It reports
+// whether the request can have reached the host.
+func (r *Runner) attempt(ctx context.Context, call Call, path, id string, attempt int, age time.Duration, f *fate) bool {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	entry := r.settings.Entries[rand.IntN(len(r.settings.Entries))]
@@ -120,24 +128,28 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+entry.String()+path, body)
 	if err != nil {
-		return
+		return false
 	}
 	request.Header.Set(upapi.HeaderRequestID, id)
 	request.Header.Set("Request-Attempt", strconv.Itoa(attempt))
+	request.Header.Set("Request-Age", strconv.FormatInt(age.Milliseconds(), 10))
 	response, err := r.client.Do(request)
 	if err != nil {
-		return
+		var op *net.OpError
+		return !errors.As(err, &op) || op.Op != "dial"
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	f.answered = true
 	f.verdict = verd.Parse(response.Header.Get(verd.Header))
+	f.reason = response.Header.Get("Lovagelink-Reason")
 	switch f.verdict {
 	case verd.NotRun:
 		f.saidNotRun = true
 	case verd.Ran:
 		check(id, string(text), err, f)
 	}
+	return true
 }
 
 // check verifies that an answer is whole and belongs to the request.
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -15,8 +15,8 @@
 
 // Periods of a link.
 const (
-	pingPeriod  = 300 * time.Millisecond
-	maxSilence  = time.Second
+	pingPeriod  = 200 * time.Millisecond
+	maxSilence  = 600 * time.Millisecond
 	dialTimeout = 500 * time.Millisecond
 	redialPause = 50 * time.Millisecond
 )
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -16,9 +16,18 @@
 // TCP is the network of the machine.
 type TCP struct{}
 
+// Probing of TCP connections: one whose other end no longer acknowledges ends after about 2 s.
+const (
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 2
+)
+
 // Dial connects to an address.
 func (TCP) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}}
 	return dialer.DialContext(ctx, "tcp", address.String())
 }
 
--- a/internal/state/feed.go
+++ b/internal/state/feed.go
@@ -81,10 +81,13 @@
 	}
 }
 
-// Apply carries out a chosen command.
+// Apply carries out a chosen command, unless another feed has already told of it.
 func (f *Feed) Apply(index uint64, data []byte) []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if index <= f.state.Index {
+		return nil
+	}
 	return f.applyLocked(Entry{Index: index, Data: data})
 }
 
@@ -119,7 +122,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.replace(next)
+	if next.Index >= f.state.Index {
+		f.replace(next)
+	}
 	return nil
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -34,6 +34,12 @@
 	Up          bool   `json:"up"`
 }
 
+// IsUp reports whether this life of a host counts as up.
+func (s *State) IsUp(holder Holder) bool {
+	host := s.Hosts[holder.Host]
+	return host != nil && host.Up && host.Incarnation == holder.Incarnation
+}
+
 // Result is a kept answer to an operator.
 type Result struct {
 	RequestID string   `json:"request-id"`
--- a/internal/state/upstream.go
+++ b/internal/state/upstream.go
@@ -19,6 +19,13 @@
 	Host            string `json:"host"` // the dispatcher
 	HostIncarnation string `json:"host-incarnation"`
 	Epoch           uint64 `json:"epoch"` // of the dispatcher
+	Before          Holder `json:"before"`
+}
+
+// Holder is one life of a host that has dispatched for an upstream.
+type Holder struct {
+	Host        string `json:"host,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // join adds an upstream. A new life of its process starts without a dispatcher, so that the next
@@ -40,6 +47,7 @@
 		if u == nil || u.Epoch != change.Epoch || u.Phase == Lost {
 			continue
 		}
+		u.Before = Holder{Host: u.Host, Incarnation: u.HostIncarnation}
 		u.Host = change.Host
 		u.HostIncarnation = change.Incarnation
 		u.Epoch = index
--- a/pkg/paxos/replica.go
+++ b/pkg/paxos/replica.go
@@ -39,7 +39,7 @@
 // DefaultTiming suits zones some milliseconds apart.
 func DefaultTiming() Timing {
 	return Timing{
-		Lease:         800 * time.Millisecond,
+		Lease:         600 * time.Millisecond,
 		Heartbeat:     100 * time.Millisecond,
 		Spread:        200 * time.Millisecond,
 		Timeout:       400 * time.Millisecond,
