Find silent connections to upstreams

Cause: with every open connection silent, requests on them held an upstream's slots until their deadlines (10 s), and the prober's own connection was closed while idle, so it showed nothing. Ruled out: a fixed limit for each attempt, which would cut long work for ever. Change: idle work connections live 250 ms; the prober's is kept; a request is overdue once one that was sent later has been answered: idempotent work is sent again once, exclusive work only frees its slot.

--- a/internal/disp/pace.go
+++ b/internal/disp/pace.go
@@ -17,6 +17,7 @@
 	answers int
 	service time.Duration
 	hold    time.Time // nothing starts before
+	newest  time.Time // when the newest request that is answered was sent
 }
 
 func newPace(slots int) pace {
@@ -24,7 +25,10 @@
 }
 
 // answered takes in an answer; the limit grows back step by step.
-func (p *pace) answered(took time.Duration) {
+func (p *pace) answered(began time.Time, took time.Duration) {
+	if began.After(p.newest) {
+		p.newest = began
+	}
 	p.service += time.Duration(smoothing * float64(took-p.service))
 	p.answers++
 	if p.answers >= growAfter && p.limit < p.slots {
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"lovagelink.example/lovagelink/pkg/queue"
@@ -119,22 +120,38 @@
 	if outcome, ok := d.await(ctx, s, r); !ok {
 		return outcome
 	}
-	defer d.leave(s)
+	var once sync.Once
+	leave := func() { once.Do(func() { d.leave(s) }) }
+	defer leave()
 	if reason := d.obstacle(time.Now(), s); reason != "" {
 		return notRun(reason)
 	}
 	if r.Idempotent {
-		return d.send(ctx, s, r)
+		return d.sendIdempotent(ctx, s, r)
 	}
 	noted, err := d.Witness.Start(ctx, r)
 	if err != nil {
 		return notRun(reasonWithdrawn)
 	}
+	vigil := d.watch(time.Now(), leave)
+	defer vigil.end()
 	outcome := d.sendStarted(ctx, s, r)
 	d.Witness.Finished(r, noted, outcome)
 	return outcome
 }
 
+// sendIdempotent gives a request up once when its answer is overdue, so that it is sent again on
+// another connection. Exclusive work in the same place only frees its slot.
+func (d *Dispatcher) sendIdempotent(ctx context.Context, s *share, r Request) Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !r.Patient {
+		vigil := d.watch(time.Now(), cancel)
+		defer vigil.end()
+	}
+	return d.send(ctx, s, r)
+}
+
 // sendStarted sends a request that has been witnessed. It no longer ends with its caller, so that a
 // resend finds the outcome.
 func (d *Dispatcher) sendStarted(ctx context.Context, s *share, r Request) Outcome {
@@ -251,7 +268,7 @@
 	defer d.mu.Unlock()
 	switch {
 	case outcome.Verdict == verd.Ran:
-		d.pace.answered(now.Sub(began))
+		d.pace.answered(began, now.Sub(began))
 	case outcome.Status == http.StatusServiceUnavailable:
 		d.pace.shed(now)
 		time.AfterFunc(shedPause, d.resume)
--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -21,9 +21,10 @@
 const (
 	maxAnswer   = 16 << 20               // bytes
 	idleTimeout = 250 * time.Millisecond // one that is idle for longer may have gone silent
+	probeIdle   = 30 * time.Second       // the prober's is kept, so that it shows silence
 )
 
-func newClient(network peer.Network, connections int) *http.Client {
+func newClient(network peer.Network, connections int, idle time.Duration) *http.Client {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
@@ -36,7 +37,7 @@
 			DialContext:         dial,
 			MaxConnsPerHost:     max(connections, 1),
 			MaxIdleConnsPerHost: max(connections, 1),
-			IdleConnTimeout:     idleTimeout,
+			IdleConnTimeout:     idle,
 			DisableCompression:  true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/disp/wire.go
+++ b/internal/disp/wire.go
@@ -24,6 +24,7 @@
 	Rank       int           `json:"rank"`
 	Idempotent bool          `json:"idempotent"`
 	Left       time.Duration `json:"left"`    // time until the deadline
+	Patient    bool          `json:"patient"` // an earlier attempt was given up since its answer was overdue
 	Started    bool          `json:"started"` // an earlier attempt may have been sent
 	Age        time.Duration `json:"age"`     // since the caller sent the request for the first time
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -39,6 +39,7 @@
 			return final(outcome, mayHaveRun)
 		}
 		mayHaveRun = mayHaveRun || outcome.Verdict == verd.MayHaveRun
+		p.Patient = p.Patient || outcome.Verdict == verd.MayHaveRun
 		if !awaitRetry(ctx, changed, pause) {
 			return h.giveUp(p, outcome, mayHaveRun)
 		}
