Let a zone that is cut off go on with the services that stay

Cause: with all zones cut, hosts lost their leases and refused confirmations, the work of the greatest worth, though their own upstreams were at hand. And a request that a dispatcher gave back as not run was then taken for one whose outcome was lost. Ruled out: letting each host go on by itself, which gives an upstream two dispatchers when only one host is cut off; asking nobody about resends, which doubles work across zones. Change: a majority of a zone's hosts, none with a lease, carries on for services with when-cut stay; a resend is traced in the books of all hosts, and answered may-have-run when a whole zone can't be asked; a start that no host knows of has not run and may run.

--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/conf"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/place"
 )
@@ -155,7 +156,9 @@
 func (l *Leader) pickHost(s *state.State, u *state.Upstream, burden map[string]int) string {
 	best := ""
 	for _, name := range sortedKeys(s.Hosts) {
-		if !l.canDispatch(s, name) {
+		host := s.Hosts[name]
+		isFar := host.Zone != u.Zone && isBound(s, u)
+		if isFar || !l.canDispatch(s, name) {
 			continue
 		}
 		if best == "" || isCloser(s, u, burden, name, best) {
@@ -165,6 +168,12 @@
 	return best
 }
 
+// isBound reports whether only hosts of its own zone may dispatch for an upstream.
+func isBound(s *state.State, u *state.Upstream) bool {
+	service := s.Config.ServiceNamed(u.Service)
+	return service != nil && service.WhenCut == conf.Stay
+}
+
 // canDispatch reports whether a host that is up may be given an upstream. A host that has just been
 // restarted must be marked up under its new life first.
 func (l *Leader) canDispatch(s *state.State, name string) bool {
@@ -199,12 +208,17 @@
 	return ids
 }
 
-// planFill gives slots without an owner to upstreams.
+// planFill gives slots without an owner to upstreams. Slots of a service without keys stand for no
+// ownership, so those of an upstream without a dispatcher are given to others at once.
 func (l *Leader) planFill(now time.Time, s *state.State) []state.Assign {
 	var assigns []state.Assign
 	for _, name := range sortedKeys(s.Tables) {
 		table := s.Tables[name]
-		for _, move := range place.Fill(ownersOf(table), l.loads.of(name, len(table.Slots)), l.candidates(now, s, name)) {
+		owners := ownersOf(table)
+		if service := s.Config.ServiceNamed(name); service != nil && service.Key == nil {
+			dropOrphans(s, owners)
+		}
+		for _, move := range place.Fill(owners, l.loads.of(name, len(table.Slots)), l.candidates(now, s, name)) {
 			assigns = append(assigns, state.Assign{
 				Service: name, Slot: move.Slot, Epoch: table.Slots[move.Slot].Epoch, Owner: move.To,
 			})
@@ -213,6 +227,15 @@
 	return assigns
 }
 
+// dropOrphans takes slots from owners without a living dispatcher.
+func dropOrphans(s *state.State, owners []string) {
+	for i, owner := range owners {
+		if u := s.Upstreams[owner]; u != nil && !hasDispatcher(s, u) {
+			owners[i] = ""
+		}
+	}
+}
+
 // heirs spreads the slots of a lost upstream over the others.
 func (l *Leader) heirs(now time.Time, lost string) []state.Assign {
 	l.mu.Lock()
--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -186,6 +186,16 @@
 	return one.told(), true
 }
 
+// forget drops a record whose request has not run.
+func (b *Book) forget(one *record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := noteKey{one.note.Service, one.note.ID}
+	if b.records[key] == one && !one.running && !one.settled {
+		delete(b.records, key)
+	}
+}
+
 // isOpen reports whether the outcome of a record must come from another host.
 func (b *Book) isOpen(one *record) bool {
 	b.mu.Lock()
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -28,16 +28,17 @@
 
 // History is what the hosts know of earlier requests.
 type History struct {
-	Notes    []Note
-	Answered map[string]bool // by host
-	Missing  int             // hosts that did not answer or that have lost what they knew
+	Notes       []Note
+	Answered    map[string]bool // by host
+	Missing     int             // hosts that did not answer or that have lost what they knew
+	ZoneMissing bool            // no host of some zone has answered
 }
 
 // Historian collects what other hosts know of earlier requests. A host that is asked ends its own
 // dispatcher of the upstream first, so that nothing is started behind the answer.
 type Historian interface {
 	Collect(ctx context.Context, upstream string, epoch uint64, service string, slots []int) History
-	Find(ctx context.Context, service, id string) []Note
+	Find(ctx context.Context, service, id string) History
 }
 
 // Control takes a dispatcher's reports.
@@ -51,6 +52,7 @@
 	Host      string
 	Network   peer.Network
 	Lease     Lease
+	ZoneLease Lease // for services that stay in a zone that is cut off
 	Witness   Witness
 	Historian Historian
 	Control   Control
@@ -65,6 +67,7 @@
 	epoch     uint64
 	exclusive bool
 	before    string
+	stays     bool
 	client    *http.Client // for work
 	prober    *http.Client // for grants
 	nudge     chan struct{}
@@ -96,6 +99,7 @@
 		epoch:     role.Upstream.Epoch,
 		exclusive: role.Exclusive,
 		before:    role.Before,
+		stays:     role.Stays,
 		client:    newClient(deps.Network, role.Upstream.Connections, idleTimeout),
 		prober:    newClient(deps.Network, 2, probeIdle),
 		nudge:     make(chan struct{}, 1),
@@ -107,6 +111,9 @@
 		lost:      newSignal(),
 		suspect:   newSignal(),
 	}
+	if role.Stays {
+		d.Lease = deps.ZoneLease
+	}
 	return d
 }
 
@@ -180,7 +187,7 @@
 	ctx := d.tomb.Context(context.Background())
 	history := d.Historian.Collect(ctx, d.upstream.ID, d.epoch, d.upstream.Service, slots)
 	if d.before != "" && d.before != d.Host && !history.Answered[d.before] {
-		pause(ctx, time.Until(began.Add(ctrl.HostLease)))
+		pause(ctx, time.Until(began.Add(d.handOver())))
 		history = d.Historian.Collect(ctx, d.upstream.ID, d.epoch, d.upstream.Service, slots)
 	}
 	d.Book.Import(time.Now(), history.Notes)
@@ -195,6 +202,15 @@
 	return nil
 }
 
+// handOver is how long a dispatcher that does not answer may still believe in its lease. The host's
+// lease has ended before it is marked down, but not that of its zone.
+func (d *Dispatcher) handOver() time.Duration {
+	if d.stays {
+		return max(ctrl.HostLease, ZoneLease)
+	}
+	return ctrl.HostLease
+}
+
 func (d *Dispatcher) rouse() {
 	select {
 	case d.nudge <- struct{}{}:
--- a/internal/disp/role.go
+++ b/internal/disp/role.go
@@ -12,9 +12,16 @@
 	Exclusive bool // some work of the service must not repeat
 	Floors    []float64
 	Slots     map[int]state.Slot
-	Before    string // a host that is up and has dispatched until now
+	Before    string // a host that may still believe that it is the dispatcher
+	Stays     bool   // the upstream is served by its own zone, even one that is cut off
 }
 
+// ZoneLease is how long a zone that is cut off goes on without asking its hosts again.
+const ZoneLease = 500 * time.Millisecond
+
+// AnySlot is the slot of work that a zone serves on its own, for services without keys.
+const AnySlot = -1
+
 // share is one slot of the upstream as its dispatcher sees it.
 type share struct {
 	number int
@@ -48,9 +55,3 @@
 		return false
 	}
 }
-
-// after returns the role with the host that has dispatched before.
-func (r Role) after(host string) Role {
-	r.Before = host
-	return r
-}
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -58,45 +58,69 @@
 
 // runOnce joins an earlier request with the same id, or is the first.
 func (d *Dispatcher) runOnce(ctx context.Context, s *share, r Request) Outcome {
-	one, isFirst := d.Book.begin(time.Now(), r)
-	if !isFirst {
-		return d.join(ctx, one, r)
+	if d.stays && r.Age > 0 && !d.trace(ctx, r) {
+		return unknown("a zone that is cut off may have run an earlier attempt")
+	}
+	for {
+		one, isFirst := d.Book.begin(time.Now(), r)
+		if isFirst {
+			outcome := d.first(ctx, s, r)
+			d.Book.finish(one, outcome)
+			return outcome
+		}
+		if outcome, isJoined := d.join(ctx, one, r); isJoined {
+			return outcome
+		}
 	}
-	outcome := d.first(ctx, s, r)
-	d.Book.finish(one, outcome)
-	return outcome
 }
 
-// join waits for the outcome of an earlier request.
-func (d *Dispatcher) join(ctx context.Context, one *record, r Request) Outcome {
+// trace looks for an earlier attempt of a resent request in the books of all hosts, since a zone that
+// was cut off may have served it. It reports false when a host that is needed has not answered.
+func (d *Dispatcher) trace(ctx context.Context, r Request) bool {
+	if _, known := d.Book.Find(r.Service, r.ID); known {
+		return true
+	}
+	history := d.Historian.Find(ctx, r.Service, r.ID)
+	d.Book.Import(time.Now(), history.Notes)
+	return len(history.Notes) > 0 || history.Missing <= tolerated && !history.ZoneMissing
+}
+
+// join waits for the outcome of an earlier request; isJoined is false when that one has not run and
+// is forgotten.
+func (d *Dispatcher) join(ctx context.Context, one *record, r Request) (outcome Outcome, isJoined bool) {
 	d.Stats.Joined.Add(1)
 	_, _ = d.Witness.Start(ctx, r)
-	if d.Book.isOpen(one) && !d.search(ctx, one, r) {
-		return unknown("an earlier attempt was started and its outcome was lost")
+	if d.Book.isOpen(one) {
+		history := d.search(ctx, one, r)
+		switch {
+		case !d.Book.isOpen(one):
+		case len(history.Notes) == 0 && history.Missing <= tolerated && ctx.Err() == nil:
+			d.Book.forget(one)
+			return Outcome{}, false
+		default:
+			return unknown("an earlier attempt was started and its outcome was lost"), true
+		}
 	}
 	select {
 	case <-one.done:
 	case <-ctx.Done():
-		return unknown("an earlier request of this id is still under way")
+		return unknown("an earlier request of this id is still under way"), true
 	}
-	return d.Book.outcome(one, r)
+	return d.Book.outcome(one, r), true
 }
 
 // search asks the other hosts how an earlier request has ended that one of them has started, as long
-// as one still has it under way.
-func (d *Dispatcher) search(ctx context.Context, one *record, r Request) bool {
-	for ctx.Err() == nil {
-		notes := d.Historian.Find(ctx, r.Service, r.ID)
-		d.Book.Import(time.Now(), notes)
-		if !d.Book.isOpen(one) {
-			return true
-		}
-		if !slices.ContainsFunc(notes, func(note Note) bool { return note.Running }) {
-			return false
+// as one still has it under way. A request that has not run is forgotten by the hosts that noted it.
+func (d *Dispatcher) search(ctx context.Context, one *record, r Request) History {
+	for {
+		history := d.Historian.Find(ctx, r.Service, r.ID)
+		d.Book.Import(time.Now(), history.Notes)
+		isRunning := slices.ContainsFunc(history.Notes, func(note Note) bool { return note.Running })
+		if !isRunning || !d.Book.isOpen(one) || ctx.Err() != nil {
+			return history
 		}
 		pause(ctx, searchPause)
 	}
-	return false
 }
 
 func pause(ctx context.Context, period time.Duration) {
--- a/internal/disp/set.go
+++ b/internal/disp/set.go
@@ -7,6 +7,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"lovagelink.example/lovagelink/internal/conf"
 	"lovagelink.example/lovagelink/internal/ctrl"
 	"lovagelink.example/lovagelink/internal/state"
 )
@@ -90,13 +91,7 @@
 			if u.Host != s.deps.Host || u.HostIncarnation != s.incarnation || u.Phase == state.Lost || service == nil {
 				continue
 			}
-			roles[id] = Role{
-				Upstream: *u, Exclusive: service.HasExclusive(),
-				Floors: st.Config.Floors(), Slots: make(map[int]state.Slot),
-			}
-			if st.IsUp(u.Before) {
-				roles[id] = roles[id].after(u.Before.Host)
-			}
+			roles[id] = roleOf(st, u, service)
 		}
 		for _, table := range st.Tables {
 			for number, slot := range table.Slots {
@@ -109,6 +104,20 @@
 	return roles
 }
 
+func roleOf(st *state.State, u *state.Upstream, service *conf.Service) Role {
+	role := Role{
+		Upstream: *u, Exclusive: service.HasExclusive(), Floors: st.Config.Floors(),
+		Slots: make(map[int]state.Slot), Stays: service.WhenCut == conf.Stay,
+	}
+	if role.Stays || st.IsUp(u.Before) {
+		role.Before = u.Before.Host
+	}
+	if role.Stays && service.Key == nil && u.Phase == state.Serving {
+		role.Slots[AnySlot] = state.Slot{Owner: u.ID, Epoch: u.Epoch}
+	}
+	return role
+}
+
 // Run carries out a request if this host dispatches for its upstream.
 func (s *Set) Run(ctx context.Context, r Request) Outcome {
 	s.mu.Lock()
@@ -147,6 +156,9 @@
 		}
 		if withLoads {
 			d.Counts(func(slot, count int) {
+				if slot == AnySlot {
+					return
+				}
 				beat.Loads = append(beat.Loads, ctrl.SlotLoad{Service: d.upstream.Service, Slot: slot, Count: count})
 			})
 		}
@@ -175,7 +187,7 @@
 
 // fits reports whether a role keeps the ranks that the dispatcher was made with.
 func (d *Dispatcher) fits(role Role) bool {
-	if len(role.Floors) != len(d.floors) {
+	if len(role.Floors) != len(d.floors) || role.Stays != d.stays {
 		return false
 	}
 	for i, floor := range role.Floors {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -89,6 +89,10 @@
 // try makes one attempt.
 func (h *Host) try(ctx context.Context, p *parsed) disp.Outcome {
 	upstream, host := h.lookup(p.Service, p.Slot)
+	isLocal := h.goesLocal(time.Now(), p)
+	if isLocal {
+		upstream, host = h.lookupLocal(p.Service, p.ID)
+	}
 	if host == "" {
 		return disp.Outcome{
 			Verdict: verd.NotRun, Status: http.StatusServiceUnavailable, Retry: true,
@@ -97,6 +101,9 @@
 	}
 	r := p.Request
 	r.Upstream = upstream
+	if isLocal {
+		r.Slot = disp.AnySlot
+	}
 	r.Token = newToken()
 	r.Left = time.Until(p.deadline) - replyMargin
 	h.attempts.open(r.Token)
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -29,6 +28,9 @@
 	headerReason   = "Lovagelink-Reason"
 )
 
+// maxAge stands for a request whose caller does not say when it was first sent.
+const maxAge = 24 * time.Hour
+
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -106,18 +108,28 @@
 		return nil, fault
 	}
 	p := &parsed{isFirst: request.Header.Get(headerAttempt) == "1", deadline: now.Add(rule.Deadline - answerMargin)}
-	age, err := strconv.ParseInt(request.Header.Get(headerAge), 10, 64)
-	if err != nil && !p.isFirst {
-		age = math.MaxInt64 / int64(time.Second)
-	}
+	age := ageOf(request.Header, p.isFirst)
 	p.Request = disp.Request{
 		Service: service.Name, Key: key, Slot: place.Slot(key, service.Slots), ID: id,
 		Method: request.Method, Path: request.URL.RequestURI(), Header: passedOn(request.Header),
-		Rank: s.Config.RankOf(rule.Rank), Idempotent: rule.Idempotent, Age: time.Duration(age) * time.Millisecond,
+		Rank: s.Config.RankOf(rule.Rank), Idempotent: rule.Idempotent, Age: age,
 	}
 	return p, checkLength(service, request)
 }
 
+// ageOf returns how long ago the caller has sent a request for the first time; a caller that does not
+// say is taken to have sent it long ago.
+func ageOf(header http.Header, isFirst bool) time.Duration {
+	if isFirst {
+		return 0
+	}
+	age, err := strconv.ParseInt(header.Get(headerAge), 10, 64)
+	if err != nil || age < 0 || age > maxAge.Milliseconds() {
+		return maxAge
+	}
+	return max(time.Duration(age)*time.Millisecond, time.Millisecond)
+}
+
 // keyOf returns the key that decides on the slot. Exclusive work of a service without keys goes by
 // its request id, so that a resend meets the first attempt; other work goes anywhere.
 func keyOf(service *conf.Service, rule *conf.Rule, request *http.Request, id string) (string, *verd.Error) {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -43,27 +43,28 @@
 
 // Host is one entry host.
 type Host struct {
-	settings conf.Host
-	network  peer.Network
-	logger   log.Logger
-	zones    map[string]string
-	line     *event.Line
-	hub      *peer.Hub
-	feed     *state.Feed
-	leader   *ctrl.Leader // nil without a replica
-	client   *ctrl.Client
-	book     *disp.Book
-	disps    *disp.Set
-	attempts *attempts
-	running  *running
-	retries  *budget
-	heard    *heard
-	stats    Stats
-	dispatch disp.Stats
-	tomb     tomb.Tomb
-	leaving  chan struct{}
-	began    time.Time
-	restored atomic.Bool // the book holds all that other hosts knew
+	settings  conf.Host
+	network   peer.Network
+	logger    log.Logger
+	zones     map[string]string
+	line      *event.Line
+	hub       *peer.Hub
+	feed      *state.Feed
+	leader    *ctrl.Leader // nil without a replica
+	client    *ctrl.Client
+	zoneLease *zoneLease
+	book      *disp.Book
+	disps     *disp.Set
+	attempts  *attempts
+	running   *running
+	retries   *budget
+	heard     *heard
+	stats     Stats
+	dispatch  disp.Stats
+	tomb      tomb.Tomb
+	leaving   chan struct{}
+	began     time.Time
+	restored  atomic.Bool // the book holds all that other hosts knew
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -98,10 +99,11 @@
 	if err := h.openReplica(now); err != nil {
 		return nil, err
 	}
+	h.zoneLease = &zoneLease{host: h}
 	incarnation := newToken()
 	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), &reporter{h, incarnation})
 	h.disps = disp.NewSet(h.feed, incarnation, disp.Deps{
-		Host: settings.Name, Network: network, Lease: h.client, Witness: witness{h}, Historian: h,
+		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Witness: witness{h}, Historian: h,
 		Control: h, Book: h.book, Stats: &h.dispatch,
 	})
 	h.serveHosts()
@@ -159,6 +161,7 @@
 	}
 	h.tomb.Go(h.watchState)
 	h.tomb.Go(h.openCallers)
+	h.tomb.Go(h.zoneLease.run)
 	h.note("host-started", "", "")
 	return nil
 }
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/disp"
@@ -47,6 +46,7 @@
 // traceReply is what a host knows of a request.
 type traceReply struct {
 	Known bool      `json:"known"`
+	Young bool      `json:"young"`
 	Note  disp.Note `json:"note"`
 }
 
@@ -172,16 +172,39 @@
 }
 
 // Find asks all other hosts about one request.
-func (h *Host) Find(ctx context.Context, service, id string) []disp.Note {
+func (h *Host) Find(ctx context.Context, service, id string) disp.History {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	var notes []disp.Note
+	history := disp.History{Answered: make(map[string]bool)}
 	for _, answer := range askAll[traceReply](ctx, h, "trace", traceArgs{Service: service, ID: id}) {
-		if answer.err == nil && answer.value.Known {
-			notes = append(notes, answer.value.Note)
+		if answer.err != nil {
+			history.Missing++
+			continue
+		}
+		history.Answered[answer.host] = true
+		if answer.value.Young {
+			history.Missing++
+		}
+		if answer.value.Known {
+			history.Notes = append(history.Notes, answer.value.Note)
 		}
 	}
-	return notes
+	history.ZoneMissing = h.missesZone(history.Answered)
+	return history
+}
+
+// missesZone reports whether no host of some zone has answered.
+func (h *Host) missesZone(answered map[string]bool) bool {
+	heard := map[string]bool{h.settings.Zone: true}
+	for host := range answered {
+		heard[h.zones[host]] = true
+	}
+	for _, zone := range h.zones {
+		if !heard[zone] {
+			return true
+		}
+	}
+	return false
 }
 
 // answer is what one host has said.
@@ -193,17 +216,7 @@
 
 // askAll calls all other hosts at once.
 func askAll[R any](ctx context.Context, h *Host, method string, args any) []answer[R] {
-	hosts := h.hub.Hosts()
-	answers := make([]answer[R], len(hosts))
-	var group sync.WaitGroup
-	for i, host := range hosts {
-		group.Go(func() {
-			value, err := peer.Call[R](ctx, h.hub, host, method, args)
-			answers[i] = answer[R]{host, value, err}
-		})
-	}
-	group.Wait()
-	return answers
+	return ask[R](ctx, h, h.hub.Hosts(), method, args)
 }
 
 // Lost tells the leader of a silent upstream.
@@ -231,6 +244,7 @@
 		return h.disps.Run(ctx, r), nil
 	})
 	peer.On(h.hub, "detour", h.serveDetour)
+	peer.On(h.hub, "zone", h.zoneLease.serveZone)
 	peer.On(h.hub, "cancel", func(_ context.Context, _ string, token string) (bool, error) {
 		h.running.cancel(token)
 		return true, nil
@@ -260,6 +274,6 @@
 	})
 	peer.On(h.hub, "trace", func(_ context.Context, _ string, args traceArgs) (traceReply, error) {
 		note, known := h.book.Find(args.Service, args.ID)
-		return traceReply{Known: known, Note: note}, nil
+		return traceReply{Known: known, Young: h.isYoung(time.Now()), Note: note}, nil
 	})
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -60,7 +60,10 @@
 		t.Fatal(err)
 	}
 	sc := &scene{Fleet: f, t: t, net: network, done: make(chan struct{})}
-	t.Cleanup(f.Stop)
+	t.Cleanup(func() {
+		f.Stop()
+		time.Sleep(time.Second) // for tasks of the libraries to end
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	if err := f.Start(ctx, s.config); err != nil {
