--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,11 +20,17 @@
 	Service string   `json:"service"`
 	Slot    int      `json:"slot"`
 	ID      string   `json:"id"`
+	Token   string   `json:"token"` // of the attempt that was started
 	Print   uint64   `json:"print"`
 	Outcome *Outcome `json:"outcome,omitempty"` // nil while it is not known
 	Running bool     `json:"running,omitempty"` // the host that tells of it has it under way
 }
 
+// NoteOf returns the note of a request that is being started.
+func NoteOf(r Request) Note {
+	return Note{Service: r.Service, Slot: r.Slot, ID: r.ID, Token: r.Token, Print: r.Print}
+}
+
 // Book remembers exclusive requests by id, so that a resend gets the first outcome. A record stands
 // for a request that this host dispatches, or that it has witnessed being started elsewhere.
 type Book struct {
@@ -59,7 +66,7 @@
 	if known := b.records[key]; known != nil {
 		return known, false
 	}
-	one := b.enter(now, Note{Service: r.Service, Slot: r.Slot, ID: r.ID, Print: r.Print})
+	one := b.enter(now, NoteOf(r))
 	one.running = true
 	return one, true
 }
@@ -196,6 +203,13 @@
 	}
 }
 
+// isCleared reports whether the attempt that a record stands for is known not to have run.
+func (b *Book) isCleared(one *record, r Request) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Contains(r.Cleared, one.note.Token)
+}
+
 // isOpen reports whether the outcome of a record must come from another host.
 func (b *Book) isOpen(one *record) bool {
 	b.mu.Lock()
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -89,6 +89,10 @@
 // is forgotten.
 func (d *Dispatcher) join(ctx context.Context, one *record, r Request) (outcome Outcome, isJoined bool) {
 	d.Stats.Joined.Add(1)
+	if d.Book.isOpen(one) && d.Book.isCleared(one, r) {
+		d.Book.forget(one)
+		return Outcome{}, false
+	}
 	_, _ = d.Witness.Start(ctx, r)
 	if d.Book.isOpen(one) {
 		history := d.search(ctx, one, r)
--- a/internal/disp/wire.go
+++ b/internal/disp/wire.go
@@ -14,8 +14,9 @@
 	Slot       int           `json:"slot"`
 	Upstream   string        `json:"upstream"`
 	ID         string        `json:"id"`
-	Token      string        `json:"token"`  // of this attempt
-	Origin     string        `json:"origin"` // the entry host
+	Token      string        `json:"token"`             // of this attempt
+	Cleared    []string      `json:"cleared,omitempty"` // tokens of attempts that have not run for sure
+	Origin     string        `json:"origin"`            // the entry host
 	Method     string        `json:"method"`
 	Path       string        `json:"path"`
 	Header     http.Header   `json:"header"`
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -110,6 +110,7 @@
 	if host == h.settings.Name {
 		outcome := h.disps.Run(ctx, r)
 		h.attempts.withdraw(r.Token)
+		p.clear(r.Token, outcome)
 		return outcome
 	}
 	if h.hub.IsLinked(host) {
@@ -176,6 +177,7 @@
 	outcome, err := peer.Call[disp.Outcome](ctx, h.hub, host, "run", r)
 	started := h.attempts.withdraw(r.Token)
 	if err == nil {
+		p.clear(r.Token, outcome)
 		if started {
 			h.noteOutcome(r, outcome)
 		}
@@ -198,6 +200,14 @@
 	return unreachable()
 }
 
+// clear notes that an attempt has not run, so that a later dispatcher does not take it for one that
+// may have run.
+func (p *parsed) clear(token string, outcome disp.Outcome) {
+	if outcome.Verdict == verd.NotRun && !p.Idempotent {
+		p.Cleared = append(p.Cleared, token)
+	}
+}
+
 // lookup returns the owner of a slot and the host that dispatches for it.
 func (h *Host) lookup(service string, slot int) (upstream, host string) {
 	h.feed.Read(func(s *state.State) {
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -50,22 +50,18 @@
 	Note  disp.Note `json:"note"`
 }
 
-func noteOf(r disp.Request) disp.Note {
-	return disp.Note{Service: r.Service, Slot: r.Slot, ID: r.ID, Print: r.Print}
-}
-
 // Start asks the entry host of a request before it is sent. With the dispatcher on the entry host
 // itself, another host notes the start, so that no single loss hides it.
 func (h witness) Start(ctx context.Context, r disp.Request) (string, error) {
 	if r.Origin != h.settings.Name {
-		_, err := callSoon[bool](ctx, h.hub, r.Origin, "start", startArgs{Token: r.Token, Note: noteOf(r)})
+		_, err := callSoon[bool](ctx, h.hub, r.Origin, "start", startArgs{Token: r.Token, Note: disp.NoteOf(r)})
 		return r.Origin, err
 	}
 	if err := h.attempts.start(r.Token); err != nil {
 		return "", err
 	}
 	for _, host := range h.witnesses(r.ID) {
-		_, err := callSoon[bool](ctx, h.hub, host, "witness", noteOf(r))
+		_, err := callSoon[bool](ctx, h.hub, host, "witness", disp.NoteOf(r))
 		if err == nil || ctx.Err() != nil {
 			return host, ctx.Err()
 		}
@@ -85,7 +81,7 @@
 	if r.Origin != h.settings.Name || noted == "" {
 		return
 	}
-	note := noteOf(r)
+	note := disp.NoteOf(r)
 	note.Outcome = &outcome
 	_ = h.hub.Notify(context.Background(), noted, "witness", note)
 }
@@ -101,7 +97,7 @@
 
 // noteOutcome keeps the outcome of an exclusive request that another host has dispatched.
 func (h *Host) noteOutcome(r disp.Request, outcome disp.Outcome) {
-	note := noteOf(r)
+	note := disp.NoteOf(r)
 	note.Outcome = &outcome
 	h.book.Witness(time.Now(), note)
 }
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -20,10 +20,11 @@
 
 // failure is something that befalls a fleet under load.
 type failure struct {
-	name   string
-	strike func(sc *scene)
-	calm   func(sc *scene) // ends it, 10 s later
-	cutOff bool            // some keys can't be served while it lasts
+	name      string
+	strike    func(sc *scene)
+	calm      func(sc *scene) // ends it, 10 s later
+	cutOff    bool            // some keys can't be served while it lasts
+	isPlanned bool            // no request may be cut
 }
 
 func (sc *scene) hostNamed(name string) int {
@@ -77,7 +78,7 @@
 			strike: func(sc *scene) { sc.Upstream("plan-03").Freeze(true) },
 			calm:   func(sc *scene) { sc.Upstream("plan-03").Freeze(false) },
 		},
-		{name: "upstream-drains", strike: func(sc *scene) { sc.Upstream("plan-03").Drain() }},
+		{name: "upstream-drains", isPlanned: true, strike: func(sc *scene) { sc.Upstream("plan-03").Drain() }},
 		{name: "dispatcher-lost", strike: killHost(func(sc *scene) int { return sc.hostNamed("b2") }), calm: back},
 		{name: "leader-lost", strike: killHost((*scene).leader), calm: back},
 		{
@@ -137,7 +138,8 @@
 			calm: func(sc *scene) { sc.net.Heal() },
 		},
 		{
-			name: "rolling-restart",
+			name:      "rolling-restart",
+			isPlanned: true,
 			strike: func(sc *scene) {
 				for i := range sc.Hosts {
 					sc.Hosts[i].Stop(context.Background())
@@ -186,6 +188,9 @@
 		if !f.cutOff && !tally.Call.Exclusive && tally.Served != tally.Sent {
 			t.Errorf("%s: %d of %d served", tally.Call.Name, tally.Served, tally.Sent)
 		}
+		if f.isPlanned && tally.Served != tally.Sent {
+			t.Errorf("%s: %d of %d served in a planned stop", tally.Call.Name, tally.Served, tally.Sent)
+		}
 		if !f.cutOff && tally.Unknown > maxInFlight {
 			t.Errorf("%s: the outcome of %d is unknown", tally.Call.Name, tally.Unknown)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,7 @@
 	Groups  []Group
 	Folder  string
 	Checks  bool                           // upstreams refuse orders without a valid grant
+	Naive   bool                           // upstreams announce themselves to every host, for the naive router
 	Address func() (netip.AddrPort, error) // the next free address
 	Network func(zone, owner string) peer.Network
 	Logger  log.Logger
@@ -124,6 +125,10 @@
 				Address: address, Slots: group.Slots, Connections: 120, Checks: plan.Checks,
 				Keyed: group.Keyed, Work: group.Work, AnswerBytes: 2048, Entries: f.doors(zone),
 			}
+			if plan.Naive {
+				settings.Entries = f.allDoors()
+				settings.AnnounceAll = true
+			}
 			f.IDs = append(f.IDs, settings.ID)
 			f.Upstreams = append(f.Upstreams, upsim.New(now, settings, plan.Network(zone, settings.ID), f.Ledger))
 		}
@@ -142,6 +147,14 @@
 	return doors
 }
 
+func (f *Fleet) allDoors() []netip.AddrPort {
+	var doors []netip.AddrPort
+	for _, settings := range f.Settings {
+		doors = append(doors, settings.Upstreams)
+	}
+	return doors
+}
+
 // Entries lists the addresses for callers.
 func (f *Fleet) Entries() []netip.AddrPort {
 	var entries []netip.AddrPort
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -50,12 +50,7 @@
 func open(t *testing.T, s setup) *scene {
 	t.Helper()
 	network := memnet.New(delayOf)
-	f, err := Build(time.Now(), Plan{
-		Zones: []string{"a", "b", "c"}, Hosts: s.hosts, Groups: s.groups, Folder: t.TempDir(), Checks: s.checks,
-		Address: network.Address,
-		Network: func(zone, owner string) peer.Network { return network.At(zone, owner) },
-		Logger:  log.NewNopLogger(),
-	})
+	f, err := Build(time.Now(), planOf(t, s, network))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -72,6 +67,15 @@
 	return sc
 }
 
+func planOf(t *testing.T, s setup, network *memnet.Net) Plan {
+	return Plan{
+		Zones: []string{"a", "b", "c"}, Hosts: s.hosts, Groups: s.groups, Folder: t.TempDir(), Checks: s.checks,
+		Address: network.Address,
+		Network: func(zone, owner string) peer.Network { return network.At(zone, owner) },
+		Logger:  log.NewNopLogger(),
+	}
+}
+
 // load begins to send requests from callers in all zones.
 func (sc *scene) load(shape load.Shape, rate float64, period time.Duration) {
 	runner := load.New(load.Settings{
--- /dev/null
+++ b/internal/fleet/naive_test.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/conf"
+	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/memnet"
+	"lovagelink.example/lovagelink/internal/naive"
+)
+
+// openNaive lays out the same fleet with naive routers in place of the entry hosts. Upstreams
+// announce themselves to all routers.
+func openNaive(t *testing.T, s setup) *scene {
+	t.Helper()
+	network := memnet.New(delayOf)
+	plan := planOf(t, s, network)
+	plan.Naive = true
+	f, err := Build(time.Now(), plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := conf.ParseConfig([]byte(s.config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sc := &scene{Fleet: f, t: t, net: network, done: make(chan struct{})}
+	for _, settings := range f.Settings {
+		port := network.At(settings.Zone, settings.Name)
+		router := naive.New(config, port)
+		if err := router.Start(port, settings.Callers, settings.Upstreams); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(router.Stop)
+	}
+	t.Cleanup(func() {
+		for _, upstream := range f.Upstreams {
+			upstream.Kill()
+		}
+		time.Sleep(15 * time.Second) // for frozen requests to end
+	})
+	for _, upstream := range f.Upstreams {
+		if err := upstream.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	return sc
+}
+
+// The scenes are able to show violations: the naive router breaks a promise in each of these.
+func TestNaiveBreaksPromises(t *testing.T) {
+	breaks := map[string]func(load.Verdict) bool{
+		"upstream-frozen":    func(v load.Verdict) bool { return v.Doubled > 0 },
+		"zone-cut":           func(v load.Verdict) bool { return v.TwoOwners > 0 },
+		"all-zones-cut":      func(v load.Verdict) bool { return v.TwoOwners > 0 },
+		"connections-silent": func(v load.Verdict) bool { return v.Doubled > 0 || v.FalseNotRun > 0 || v.TwoOwners > 0 },
+	}
+	for _, f := range failures() {
+		isBroken, ok := breaks[f.name]
+		if !ok {
+			continue
+		}
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			in(t, func(t *testing.T) {
+				s := gautengSetup()
+				s.checks = false
+				sc := openNaive(t, s)
+				sc.load(load.Gauteng(), steadyRate, 15*time.Second)
+				time.Sleep(3 * time.Second)
+				f.strike(sc)
+				time.Sleep(10 * time.Second)
+				if f.calm != nil {
+					f.calm(sc)
+				}
+				<-sc.done
+				verdict := sc.result.Judge(sc.Ledger.Runs())
+				t.Logf("%+v", verdict)
+				if !isBroken(verdict) {
+					t.Error("the scene shows no violation by the naive router")
+				}
+			})
+		})
+	}
+}
--- a/internal/upsim/upstream.go
+++ b/internal/upsim/upstream.go
@@ -44,6 +44,7 @@
 	ShedAbove   int           // requests at a time above which work is refused; 0 means never
 	AnswerBytes int
 	Entries     []netip.AddrPort // where to announce itself, tried in turn
+	AnnounceAll bool             // at all of them each time
 }
 
 // Upstream is one stand-in upstream.
@@ -209,7 +210,9 @@
 	turn := 0
 	for u.tomb.Alive() {
 		u.gate()
-		if len(u.settings.Entries) > 0 && u.announce(u.settings.Entries[turn%len(u.settings.Entries)]) != nil {
+		if u.settings.AnnounceAll {
+			u.announceAll()
+		} else if len(u.settings.Entries) > 0 && u.announce(u.settings.Entries[turn%len(u.settings.Entries)]) != nil {
 			turn++
 		}
 		timer := time.NewTimer(announcePeriod)
@@ -222,6 +225,13 @@
 	return nil
 }
 
+// announceAll tells every entry host, for routers that do not tell one another.
+func (u *Upstream) announceAll() {
+	for _, entry := range u.settings.Entries {
+		go func() { _ = u.announce(entry) }()
+	}
+}
+
 func (u *Upstream) announce(entry netip.AddrPort) error {
 	data, err := json.Marshal(state.Announced{
 		ID: u.settings.ID, Incarnation: u.incarnation, Service: u.settings.Service,
--- a/internal/upsim/work.go
+++ b/internal/upsim/work.go
@@ -60,7 +60,7 @@
 	select {
 	case u.slots <- struct{}{}:
 		defer func() { <-u.slots }()
-	case <-request.Context().Done():
+	case <-u.cancelled(request.Context()):
 		return
 	}
 	if reason := u.work(request.Context(), one); reason != "" {
@@ -101,7 +101,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-ctx.Done():
+	case <-u.cancelled(ctx):
 		return "cancelled"
 	}
 	u.gate()
@@ -116,6 +116,14 @@
 	return ""
 }
 
+// cancelled returns the channel that ends work early; an upstream that checks nothing goes on.
+func (u *Upstream) cancelled(ctx context.Context) <-chan struct{} {
+	if !u.settings.Checks {
+		return nil
+	}
+	return ctx.Done()
+}
+
 // hindrance says why a job may not run at this time, or "".
 func (u *Upstream) hindrance(now time.Time, one job) string {
 	u.mu.Lock()
