Send requests to dispatchers over HTTP/2, and let a resend grow older while it waits

Cause: (1) a request's hop between hosts as jsonrpc2 cost several passes of JSON and base64 over its body. Ruled out: (1) a second codec for jsonrpc2, which keeps the passes; (2) a longer wait of the new dispatcher. Change: (1) the hop is HTTP/2 with pings by the standard library; jsonrpc2 carries control messages. (2) The age is taken anew for each attempt. Proof: TestResendAfterZoneLoss answered ran before and answers may-have-run now, with one run.

--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -149,7 +149,7 @@
 	for i := range hosts {
 		zone := string(rune('a' + i%zones))
 		peers = append(peers, conf.Peer{
-			Name: fmt.Sprintf("%s%d", zone, i/zones+1), Zone: zone, Address: at(i, 3), Replica: i < zones,
+			Name: fmt.Sprintf("%s%d", zone, i/zones+1), Zone: zone, Address: at(i, 3), Forward: at(i, 4), Replica: i < zones,
 		})
 	}
 	if err := os.MkdirAll(folder, 0o755); err != nil {
--- a/internal/conf/host.go
+++ b/internal/conf/host.go
@@ -23,7 +23,8 @@
 type Peer struct {
 	Name    string         `yaml:"name" validate:"required"`
 	Zone    string         `yaml:"zone" validate:"required"`
-	Address netip.AddrPort `yaml:"address" validate:"required"`
+	Address netip.AddrPort `yaml:"address" validate:"required"` // for control messages
+	Forward netip.AddrPort `yaml:"forward" validate:"required"` // for requests on their way to a dispatcher
 	Replica bool           `yaml:"replica,omitempty"`
 }
 
--- a/internal/disp/wire.go
+++ b/internal/disp/wire.go
@@ -20,7 +20,7 @@
 	Method     string        `json:"method"`
 	Path       string        `json:"path"`
 	Header     http.Header   `json:"header"`
-	Body       []byte        `json:"body"`
+	Body       []byte        `json:"body,omitempty"`
 	Print      uint64        `json:"print"` // fingerprint of method, path and body
 	Rank       int           `json:"rank"`
 	Wait       time.Duration `json:"wait"` // longest useful wait in an overload
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -105,6 +105,7 @@
 		r.Slot = disp.AnySlot
 	}
 	r.Token = newToken()
+	r.Age = p.age(time.Now())
 	r.Left = time.Until(p.deadline) - replyMargin
 	h.attempts.open(r.Token)
 	if host == h.settings.Name {
@@ -132,6 +133,7 @@
 		return unreachable()
 	}
 	r := p.Request
+	r.Age = p.age(time.Now())
 	r.Left = time.Until(p.deadline) - replyMargin
 	outcome, err := peer.Call[disp.Outcome](ctx, h.hub, via, "detour", r)
 	if err != nil {
@@ -146,7 +148,10 @@
 
 // serveDetour carries a request of another entry host.
 func (h *Host) serveDetour(ctx context.Context, _ string, r disp.Request) (disp.Outcome, error) {
-	p := &parsed{Request: r, isFirst: r.Age == 0, deadline: time.Now().Add(r.Left), isDetour: true}
+	now := time.Now()
+	p := &parsed{
+		Request: r, isFirst: r.Age == 0, sentAt: now.Add(-r.Age), deadline: now.Add(r.Left), isDetour: true,
+	}
 	p.Origin = h.settings.Name
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
@@ -174,7 +179,7 @@
 // tryRemote makes an attempt through another host's dispatcher.
 func (h *Host) tryRemote(ctx context.Context, p *parsed, host string, r disp.Request) disp.Outcome {
 	h.stats.Forwarded.Add(1)
-	outcome, err := peer.Call[disp.Outcome](ctx, h.hub, host, "run", r)
+	outcome, err := h.hop.run(ctx, host, r)
 	started := h.attempts.withdraw(r.Token)
 	if err == nil {
 		p.clear(r.Token, outcome)
@@ -183,7 +188,6 @@
 		}
 		return outcome
 	}
-	_ = h.hub.Notify(context.WithoutCancel(ctx), host, "cancel", r.Token)
 	switch {
 	case r.Idempotent:
 		return disp.Outcome{
@@ -200,6 +204,15 @@
 	return unreachable()
 }
 
+// age is how long ago the caller sent the request for the first time. It grows while the request
+// waits here, so that a dispatcher never takes an old request for one that is newer than itself.
+func (p *parsed) age(now time.Time) time.Duration {
+	if p.isFirst {
+		return 0
+	}
+	return now.Sub(p.sentAt)
+}
+
 // clear notes that an attempt has not run, so that a later dispatcher does not take it for one that
 // may have run.
 func (p *parsed) clear(token string, outcome disp.Outcome) {
@@ -230,3 +243,18 @@
 	_, _ = rand.Read(raw[:])
 	return hex.EncodeToString(raw[:])
 }
+
+// Dispatches reports whether this host dispatches for a key of a service.
+func (h *Host) Dispatches(service, key string) bool {
+	slots := 0
+	h.feed.Read(func(s *state.State) {
+		if table := s.Tables[service]; table != nil {
+			slots = len(table.Slots)
+		}
+	})
+	if slots == 0 {
+		return false
+	}
+	_, host := h.lookup(service, place.Slot(key, slots))
+	return host == h.settings.Name
+}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -40,8 +40,9 @@
 // parsed is a caller's request with what the configuration says of it.
 type parsed struct {
 	disp.Request
-	isFirst  bool // the caller says that it has not sent the request before
-	isDetour bool // another entry host has sent it here
+	isFirst  bool      // the caller says that it has not sent the request before
+	isDetour bool      // another entry host has sent it here
+	sentAt   time.Time // when the caller sent the request for the first time
 	deadline time.Time
 }
 
@@ -109,11 +110,11 @@
 	}
 	rank := s.Config.RankOf(rule.Rank)
 	p := &parsed{isFirst: request.Header.Get(headerAttempt) == "1", deadline: now.Add(rule.Deadline - answerMargin)}
-	age := ageOf(request.Header, p.isFirst)
+	p.sentAt = now.Add(-ageOf(request.Header, p.isFirst))
 	p.Request = disp.Request{
 		Service: service.Name, Key: key, Slot: place.Slot(key, service.Slots), ID: id,
 		Method: request.Method, Path: request.URL.RequestURI(), Header: passedOn(request.Header),
-		Rank: rank, Wait: s.Config.Ranks[rank].Wait, Idempotent: rule.Idempotent, Age: age,
+		Rank: rank, Wait: s.Config.Ranks[rank].Wait, Idempotent: rule.Idempotent,
 	}
 	return p, checkLength(service, request)
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -56,7 +56,8 @@
 	book      *disp.Book
 	disps     *disp.Set
 	attempts  *attempts
-	running   *running
+	hop       *hop
+	hopsIn    atomic.Int64 // requests of other hosts under way here
 	retries   *budget
 	heard     *heard
 	stats     Stats
@@ -84,17 +85,19 @@
 		feed:     state.NewFeed(),
 		book:     disp.NewBook(),
 		attempts: newAttempts(),
-		running:  newRunning(),
 		retries:  newBudget(),
 		heard:    newHeard(),
 		leaving:  make(chan struct{}),
 		began:    now,
 	}
 	addresses := make(map[string]netip.AddrPort)
+	forwards := make(map[string]netip.AddrPort)
 	for _, other := range settings.Hosts {
 		addresses[other.Name] = other.Address
+		forwards[other.Name] = other.Forward
 		h.zones[other.Name] = other.Zone
 	}
+	h.hop = newHop(network, forwards)
 	h.hub = peer.New(network, settings.Name, addresses)
 	if err := h.openReplica(now); err != nil {
 		return nil, err
@@ -172,6 +175,9 @@
 	if err := h.open(h.settings.Upstreams, h.upstreamMux()); err != nil {
 		return trace.Wrap(err, "address for upstreams; is another process using it?")
 	}
+	if err := h.openForward(); err != nil {
+		return trace.Wrap(err, "address for forwarded requests; is another process using it?")
+	}
 	if err := h.open(h.settings.Operators, h.operatorMux()); err != nil {
 		return trace.Wrap(err, "address for operators; is another process using it?")
 	}
@@ -182,6 +188,14 @@
 	return listener.Close()
 }
 
+// openForward takes the requests of other hosts to the dispatchers here.
+func (h *Host) openForward() error {
+	self, _ := h.settings.Self()
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Post(hopPath), h.serveRun)
+	return h.open(self.Forward, mux)
+}
+
 // openCallers opens the address for callers once this host knows what the leader knows. A host that
 // is cut off from the leader serves from what it has after a while.
 func (h *Host) openCallers() error {
@@ -231,7 +245,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: new(http.Protocols)}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.tomb.Alive() {
@@ -280,7 +296,7 @@
 		now := time.Now()
 		hasLease := now.Before(h.client.LeaseUntil())
 		hasNoRoles := len(h.disps.Health(now)) == 0 || !hasLease || h.isLastHost()
-		if hasNoRoles && h.running.len() == 0 && h.disps.Busy(now) == 0 {
+		if hasNoRoles && h.hopsIn.Load() == 0 && h.disps.Busy(now) == 0 {
 			return
 		}
 		select {
@@ -325,6 +341,7 @@
 		h.leader.Stop()
 	}
 	h.hub.Stop()
+	h.hop.client.CloseIdleConnections()
 }
 
 // watchState notes changes of the state in the time line.
@@ -370,12 +387,6 @@
 	return mux
 }
 
-func (r *running) len() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.cancels)
-}
-
 func lostReport(upstream string, epoch uint64) ctrl.LostReport {
 	return ctrl.LostReport{Upstream: upstream, Epoch: epoch}
 }
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -232,19 +232,8 @@
 
 // serveHosts answers the calls of other hosts' entry side and dispatchers.
 func (h *Host) serveHosts() {
-	peer.On(h.hub, "run", func(ctx context.Context, _ string, r disp.Request) (disp.Outcome, error) {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		h.running.add(r.Token, cancel)
-		defer h.running.remove(r.Token)
-		return h.disps.Run(ctx, r), nil
-	})
 	peer.On(h.hub, "detour", h.serveDetour)
 	peer.On(h.hub, "zone", h.zoneLease.serveZone)
-	peer.On(h.hub, "cancel", func(_ context.Context, _ string, token string) (bool, error) {
-		h.running.cancel(token)
-		return true, nil
-	})
 	peer.On(h.hub, "start", func(_ context.Context, _ string, args startArgs) (bool, error) {
 		if err := h.attempts.start(args.Token); err != nil {
 			return false, err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,9 +89,13 @@
 		if err != nil {
 			return err
 		}
+		forward, err := plan.Address()
+		if err != nil {
+			return err
+		}
 		zone := plan.Zones[i%len(plan.Zones)]
 		peers = append(peers, conf.Peer{
-			Name: fmt.Sprintf("%s%d", zone, i/len(plan.Zones)+1), Zone: zone, Address: address,
+			Name: fmt.Sprintf("%s%d", zone, i/len(plan.Zones)+1), Zone: zone, Address: address, Forward: forward,
 			Replica: i < len(plan.Zones),
 		})
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,6 +115,16 @@
 	return sc.result
 }
 
+func dialOf(port *memnet.Port) func(ctx context.Context, _, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		to, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return port.Dial(ctx, to)
+	}
+}
+
 // in runs a scene in a bubble of exact time.
 func in(t *testing.T, test func(t *testing.T)) {
 	synctest.Test(t, test)
--- /dev/null
+++ b/internal/fleet/resend_test.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lovagelink.example/lovagelink/examples"
+	"lovagelink.example/lovagelink/internal/upsim"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// post lodges a booking and returns its verdict, or "" without an answer.
+func (sc *scene) post(entry netip.AddrPort, key, id string, attempt int, age time.Duration) string {
+	client := &http.Client{Transport: &http.Transport{DialContext: dialOf(sc.net.At("callers", "caller"))}}
+	defer client.CloseIdleConnections()
+	url := fmt.Sprintf("http://%s/plan/%s/bookings", entry, key)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader("x"))
+	if err != nil {
+		sc.t.Fatal(err)
+	}
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Request-Attempt", fmt.Sprint(attempt))
+	request.Header.Set("Request-Age", fmt.Sprint(age.Milliseconds()))
+	response, err := client.Do(request)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	return response.Header.Get(verd.Header)
+}
+
+// keyAt returns a key whose dispatcher is one of the first hosts of the zones, and that host.
+func (sc *scene) keyAt(isWanted func(host int) bool) (key string, host int) {
+	for number := range 500 {
+		key = fmt.Sprint("wall-", number)
+		for i, one := range sc.Hosts {
+			if isWanted(i) && one.Dispatches("plan", key) {
+				return key, i
+			}
+		}
+	}
+	sc.t.Fatal("no key has its dispatcher there")
+	return "", 0
+}
+
+// A resend must not run while the hosts that knew of the first attempt are lost, however long it has
+// waited for a new dispatcher.
+func TestResendAfterZoneLoss(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		sc := open(t, setup{config: examples.Gauteng, hosts: 6, checks: false, groups: []Group{
+			{Service: "plan", Count: 3, Slots: 2, Keyed: true, Work: 300 * time.Millisecond},
+			{Service: "commission", Count: 3, Slots: 2, Work: 300 * time.Millisecond},
+		}})
+		time.Sleep(5 * time.Second)
+		key, host := sc.keyAt(func(i int) bool { return sc.zoneOf(i) == "c" })
+		go sc.post(sc.Settings[host].Callers, key, "r1", 1, 0)
+		time.Sleep(100 * time.Millisecond)
+		for i := range sc.Hosts {
+			if sc.zoneOf(i) == "c" {
+				sc.Hosts[i].Kill()
+			}
+		}
+		verdict := sc.post(sc.Settings[sc.hostNamed("a1")].Callers, key, "r1", 2, 100*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		is.Equal(verdict, verd.MayHaveRun.String())
+		is.Equal(upsim.Examine(sc.Ledger.Runs()).ByID["r1"], 1)
+	})
+}
+
+// A resend at any entry host gets the outcome of the first attempt.
+func TestResendRepeatsOutcome(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		sc := open(t, smallSetup())
+		for attempt := range 3 {
+			entry := sc.Settings[attempt].Callers
+			is.Equal(sc.post(entry, "wall-1", "r1", attempt+1, time.Second), verd.Ran.String())
+		}
+		is.Equal(len(sc.Ledger.Runs()), 1)
+	})
+}
--- /dev/null
+++ b/internal/state/bench_test.go
@@ -0,0 +1,78 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+const benchConfig = `ranks:
+  - {name: all, target: 1s, worth: 1}
+services:
+  - name: plan
+    route: /plan/
+    key: {segment: 2}
+    slots: %d
+    rules:
+      - {methods: [GET], rank: all, idempotent: true, deadline: 1s}
+`
+
+// sized returns a feed with a table of slots, and upstreams and hosts in proportion.
+func sized(slots int) *Feed {
+	f := NewFeed()
+	index := uint64(0)
+	apply := func(c Command) {
+		index++
+		data, _ := json.Marshal(c)
+		f.Apply(index, data)
+	}
+	apply(Command{Accept: &Accept{RequestID: "r", Body: fmt.Sprintf(benchConfig, slots)}})
+	upstreams := max(slots/16, 1)
+	for i := range upstreams / 3 {
+		apply(Command{Host: &HostMark{Name: fmt.Sprint("host-", i), Zone: "a", Incarnation: strings.Repeat("i", 24), Up: true}})
+	}
+	for i := range upstreams {
+		apply(Command{Join: &Join{Upstream: Announced{ID: fmt.Sprint("plan-", i), Service: "plan", Zone: "a", Slots: 2}}})
+	}
+	var assigns []Assign
+	for i := range slots {
+		assigns = append(assigns, Assign{Service: "plan", Slot: i, Owner: fmt.Sprint("plan-", i%upstreams)})
+	}
+	apply(Command{Assign: assigns})
+	return f
+}
+
+func BenchmarkState(b *testing.B) {
+	for _, slots := range []int{1024, 8192, 65536} {
+		f := sized(slots)
+		b.Run(fmt.Sprintf("snapshot/%d", slots), func(b *testing.B) {
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				data, err := f.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes/snapshot")
+			b.ReportMetric(float64(size)/float64(slots), "bytes/slot")
+		})
+		b.Run(fmt.Sprintf("move/%d", slots), func(b *testing.B) {
+			b.ReportAllocs()
+			index := f.Index()
+			size := 0
+			for b.Loop() {
+				index++
+				slot := int(index) % slots
+				var epoch uint64
+				f.Read(func(s *State) { epoch = s.Tables["plan"].Slots[slot].Epoch })
+				data, _ := json.Marshal(Command{Assign: []Assign{{Service: "plan", Slot: slot, Epoch: epoch, Owner: "plan-0"}}})
+				size = len(data)
+				f.Apply(index, data)
+			}
+			b.ReportMetric(float64(size), "bytes/change")
+		})
+	}
+}
--- /dev/null
+++ b/pkg/place/place_test.go
@@ -0,0 +1,173 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"lovagelink.example/lovagelink/pkg/place"
+)
+
+func names(count int) []string {
+	var list []string
+	for i := range count {
+		list = append(list, fmt.Sprint("plan-", i))
+	}
+	return list
+}
+
+// Losing one candidate moves only the keys that it was best for.
+func TestRendezvousMovesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := names(rapid.IntRange(2, 20).Draw(t, "candidates"))
+		lost := rapid.IntRange(0, len(all)-1).Draw(t, "lost")
+		rest := append(append([]string(nil), all[:lost]...), all[lost+1:]...)
+		key := rapid.String().Draw(t, "key")
+		before, after := place.Best(key, all), place.Best(key, rest)
+		if before != all[lost] && before != after {
+			t.Fatalf("%q moved from %s to %s", key, before, after)
+		}
+		if place.Rank(key, all)[0] != before {
+			t.Fatalf("rank and best differ for %q", key)
+		}
+	})
+}
+
+// A balance never makes the spread worse, keeps to its budget and moves only what it says.
+func TestBalanceImproves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := names(rapid.IntRange(2, 8).Draw(t, "candidates"))
+		slots := rapid.IntRange(8, 64).Draw(t, "slots")
+		owners := make([]string, slots)
+		loads := make([]float64, slots)
+		for i := range owners {
+			owners[i] = candidates[rapid.IntRange(0, len(candidates)-1).Draw(t, "owner")]
+			loads[i] = rapid.Float64Range(0, 100).Draw(t, "load")
+		}
+		before := spread(owners, loads, candidates)
+		moves := place.Planner{Slack: 0.2, Budget: 5}.Balance(owners, loads, candidates)
+		if len(moves) > 5 {
+			t.Fatalf("%d moves over the budget", len(moves))
+		}
+		for _, move := range moves {
+			if owners[move.Slot] != move.From {
+				t.Fatalf("move %+v, but the owner is %s", move, owners[move.Slot])
+			}
+			owners[move.Slot] = move.To
+		}
+		if after := spread(owners, loads, candidates); after > before+1e-9 {
+			t.Fatalf("spread %f became %f", before, after)
+		}
+	})
+}
+
+func TestFillGivesEverySlot(t *testing.T) {
+	is := is.New(t)
+	owners := make([]string, 100)
+	loads := make([]float64, 100)
+	for i := range loads {
+		loads[i] = 1
+	}
+	moves := place.Fill(owners, loads, names(4))
+	is.Equal(len(moves), 100)
+	for _, move := range moves {
+		owners[move.Slot] = move.To
+	}
+	is.Equal(spread(owners, loads, names(4)), 0.0)
+	is.Equal(len(place.Fill(owners, loads, nil)), 0)
+}
+
+// spread is the difference between the most and the least load.
+func spread(owners []string, loads []float64, candidates []string) float64 {
+	low, high := carried(owners, loads, candidates)
+	return high - low
+}
+
+func carried(owners []string, loads []float64, candidates []string) (low, high float64) {
+	sums := make(map[string]float64)
+	for i, owner := range owners {
+		sums[owner] += loads[i]
+	}
+	low, high = sums[candidates[0]], sums[candidates[0]]
+	for _, name := range candidates {
+		low, high = min(low, sums[name]), max(high, sums[name])
+	}
+	return low, high
+}
+
+// BenchmarkPlacement compares imbalance (max over mean) and churn of three ways under hot keys whose
+// popularity follows Zipf's law: the naive hash modulo, rendezvous hashing, and planned slots.
+func BenchmarkPlacement(b *testing.B) {
+	const slots, keys, requests = 1024, 100_000, 1_000_000
+	candidates := names(25)
+	zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 0)), 1.1, 4, keys-1)
+	loads := make([]float64, slots)
+	byKey := make([]float64, keys)
+	for range requests {
+		key := zipf.Uint64()
+		byKey[key]++
+		loads[place.Slot(fmt.Sprint("key-", key), slots)]++
+	}
+	report := func(b *testing.B, owners []string, moved int) {
+		_, high := carried(owners, loads, candidates)
+		b.ReportMetric(high/(requests/float64(len(candidates))), "max/mean-load")
+		b.ReportMetric(float64(moved)/slots*float64(len(candidates)), "churn/least")
+	}
+	b.Run("naive-modulo", func(b *testing.B) {
+		var owners []string
+		moved := 0
+		for b.Loop() {
+			owners, moved = owners[:0], 0
+			for slot := range slots {
+				owners = append(owners, candidates[slot%25])
+				if slot%25 != slot%24 {
+					moved++
+				}
+			}
+		}
+		report(b, owners, moved)
+	})
+	b.Run("rendezvous", func(b *testing.B) {
+		var owners []string
+		moved := 0
+		for b.Loop() {
+			owners, moved = owners[:0], 0
+			for slot := range slots {
+				owner := place.Best(fmt.Sprint(slot), candidates)
+				owners = append(owners, owner)
+				if place.Best(fmt.Sprint(slot), candidates[:24]) != owner {
+					moved++
+				}
+			}
+		}
+		report(b, owners, moved)
+	})
+	b.Run("planned", func(b *testing.B) {
+		var owners []string
+		moved := 0
+		for b.Loop() {
+			owners = make([]string, slots)
+			moved = 0
+			for _, move := range place.Fill(owners, loads, candidates) {
+				owners[move.Slot] = move.To
+			}
+			for _, owner := range owners {
+				if owner == candidates[24] {
+					moved++
+				}
+			}
+		}
+		report(b, owners, moved)
+	})
+}
+
+func Example() {
+	fmt.Println(place.Slot("wall-7", 256) == place.Slot("wall-7", 256))
+	fmt.Println(len(place.Rank("wall-7", []string{"a", "b", "c"})))
+	// Output:
+	// true
+	// 3
+}
