Open links between hosts on demand and look at slots only when something changed

Cause: each host pinged all others five times a second, and the leader looked at every slot 20 times a second: 4,886 bytes/s for control at 5 hosts, 7,845 at 10, about 600 more for each further host, and 26 ms a look at 65,536 slots. Ruled out: rarer pings, which only lower the slope and find silence later. Change: a link is dialled when it is wanted, pinged while calls wait, and closed after 10 s without use; a host counts as unreachable for 1 s after it gave no answer. Slots are looked at 100 ms after a change and each 500 ms.

--- a/internal/ctrl/leader.go
+++ b/internal/ctrl/leader.go
@@ -36,6 +36,8 @@
 	loads    *loads
 	planned  time.Time // when slots were last balanced
 	relieved time.Time // when a dispatcher was last moved to a host with fewer
+	slotsAt  time.Time // when slots were last looked at, and at which state
+	slotsOf  uint64
 }
 
 // hostReport is what the newest heartbeat of a host said.
@@ -110,6 +112,7 @@
 	l.loads = newLoads()
 	l.planned = now
 	l.relieved = now
+	l.slotsAt = time.Time{}
 }
 
 // leading reports whether this replica holds the leader's lease, and begins a new leadership
--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -15,6 +15,8 @@
 	balanceSlack  = 0.25 // of the mean load
 	balanceBudget = 8    // moves in each period and service
 	reliefPeriod  = 500 * time.Millisecond
+	slotsPause    = 100 * time.Millisecond // between looks at all slots after changes
+	idlePause     = 500 * time.Millisecond // and without changes
 )
 
 // plan returns the changes that are due.
@@ -29,16 +31,31 @@
 		if dispatch := l.planDispatch(now, s); len(dispatch) > 0 {
 			commands = append(commands, state.Command{Dispatch: dispatch})
 		}
-		if assigns := l.planFill(now, s); len(assigns) > 0 {
-			commands = append(commands, state.Command{Assign: assigns})
-		}
-		if moves := l.planMoves(now, s); len(moves) > 0 {
-			commands = append(commands, state.Command{Move: moves})
-		}
+		commands = append(commands, l.planSlots(now, s)...)
 	})
 	return commands
 }
 
+// planSlots looks at all slots, soon after a change of the state and now and then.
+func (l *Leader) planSlots(now time.Time, s *state.State) []state.Command {
+	pause := slotsPause
+	if s.Index == l.slotsOf {
+		pause = idlePause
+	}
+	if now.Sub(l.slotsAt) < pause {
+		return nil
+	}
+	l.slotsAt, l.slotsOf = now, s.Index
+	var commands []state.Command
+	if assigns := l.planFill(now, s); len(assigns) > 0 {
+		commands = append(commands, state.Command{Assign: assigns})
+	}
+	if moves := l.planMoves(now, s); len(moves) > 0 {
+		commands = append(commands, state.Command{Move: moves})
+	}
+	return commands
+}
+
 // planHosts marks hosts up that send heartbeats and hosts down whose lease has ended.
 func (l *Leader) planHosts(now time.Time, s *state.State) []state.Command {
 	var commands []state.Command
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -114,7 +114,7 @@
 		p.clear(r.Token, outcome)
 		return outcome
 	}
-	if h.hub.IsLinked(host) {
+	if h.hub.CanReach(time.Now(), host) && h.hop.canReach(time.Now(), host) {
 		return h.tryRemote(ctx, p, host, r)
 	}
 	h.attempts.withdraw(r.Token)
@@ -158,11 +158,12 @@
 	return h.try(ctx, p), nil
 }
 
-// linked lists the hosts that this one has a link to.
+// linked lists the hosts that this one can reach.
 func (h *Host) linked(isWanted func(host string) bool) []string {
 	var names []string
+	now := time.Now()
 	for _, host := range h.hub.Hosts() {
-		if h.hub.IsLinked(host) && isWanted(host) {
+		if h.hub.CanReach(now, host) && isWanted(host) {
 			names = append(names, host)
 		}
 	}
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/disp"
@@ -30,6 +31,25 @@
 type hop struct {
 	client    *http.Client
 	addresses map[string]netip.AddrPort
+
+	mu     sync.Mutex
+	failed map[string]time.Time // when a host last gave no answer
+}
+
+// failureKept is how long a host that gave no answer is reached by way of another one.
+const failureKept = time.Second
+
+// canReach reports whether a host may answer: all may but those that gave no answer lately.
+func (p *hop) canReach(now time.Time, host string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.failed[host]) > failureKept
+}
+
+func (p *hop) fail(now time.Time, host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed[host] = now
 }
 
 func newHop(network peer.Network, addresses map[string]netip.AddrPort) *hop {
@@ -49,7 +69,7 @@
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: hopPing, PingTimeout: hopSilence},
 	}
 	transport.Protocols.SetUnencryptedHTTP2(true)
-	return &hop{client: &http.Client{Transport: transport}, addresses: addresses}
+	return &hop{client: &http.Client{Transport: transport}, addresses: addresses, failed: make(map[string]time.Time)}
 }
 
 // run has the dispatcher on a host carry out a request; an error means that no answer came.
@@ -70,6 +90,9 @@
 	request.Header[headerRequest] = []string{string(meta)}
 	response, err := p.client.Do(request)
 	if err != nil {
+		if ctx.Err() == nil {
+			p.fail(time.Now(), host)
+		}
 		return outcome, err
 	}
 	defer response.Body.Close()
--- a/internal/entry/zone.go
+++ b/internal/entry/zone.go
@@ -123,7 +123,7 @@
 		var ids []string
 		for _, u := range s.Upstreams {
 			isNear := u.Zone == h.settings.Zone && h.zones[u.Host] == h.settings.Zone
-			isUsable := u.Host == h.settings.Name || h.hub.IsLinked(u.Host)
+			isUsable := u.Host == h.settings.Name || h.hub.CanReach(time.Now(), u.Host)
 			if u.Service == service && u.Phase == state.Serving && isNear && isUsable {
 				ids = append(ids, u.ID)
 			}
--- a/internal/memnet/net.go
+++ b/internal/memnet/net.go
@@ -23,6 +23,7 @@
 	isCut     func(from, to Place) bool
 	delay     func(from, to Place) time.Duration
 	port      uint16
+	sent      map[string]int64 // bytes by owner
 }
 
 // New returns a network without cuts; delay gives the one-way delay between two places.
@@ -33,6 +34,7 @@
 		isCut:     func(Place, Place) bool { return false },
 		delay:     delay,
 		port:      1000,
+		sent:      make(map[string]int64),
 	}
 }
 
@@ -71,6 +73,19 @@
 	}
 }
 
+// Sent returns how many bytes an owner has sent.
+func (n *Net) Sent(owner string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[owner]
+}
+
+func (n *Net) count(owner string, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[owner] += int64(bytes)
+}
+
 func (n *Net) cutBetween(from, to Place) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -16,9 +16,12 @@
 // Periods of a link.
 const (
 	pingPeriod  = 200 * time.Millisecond
-	maxSilence  = 600 * time.Millisecond
-	dialTimeout = 500 * time.Millisecond
+	pingTimeout = 400 * time.Millisecond
+	maxSilence  = 30 * time.Second // of a connection that another host has opened
+	idlePeriod  = 10 * time.Second // after which a link that nobody uses is closed
+	dialTimeout = 400 * time.Millisecond
 	redialPause = 50 * time.Millisecond
+	failureKept = time.Second // how long a host counts as unreachable
 )
 
 // The errors of a call that got no answer.
@@ -116,11 +119,10 @@
 	if l == nil {
 		return answer, ErrUnknownHost
 	}
-	conn, err := l.await(ctx)
-	if err != nil {
-		return answer, err
-	}
-	err = conn.Call(ctx, method, envelope{From: h.name, Body: params}, &answer)
+	l.begin(time.Now())
+	err := l.call(ctx, method, envelope{From: h.name, Body: params}, &answer)
+	var refusal *jsonrpc2.Error
+	l.end(time.Now(), err == nil || errors.As(err, &refusal))
 	return answer, err
 }
 
@@ -141,7 +143,7 @@
 	return typed, nil
 }
 
-// Notify tells another host something without waiting for an answer.
+// Notify tells another host something over an open link without waiting for an answer.
 func (h *Hub) Notify(ctx context.Context, host, method string, params any) error {
 	l := h.links[host]
 	if l == nil {
@@ -163,10 +165,19 @@
 	return names
 }
 
-// IsLinked reports whether a link to the host is open.
-func (h *Hub) IsLinked(host string) bool {
+// CanReach reports whether a host may be reachable: all are but those that proved not to be lately.
+func (h *Hub) CanReach(now time.Time, host string) bool {
 	l := h.links[host]
-	return l != nil && l.current() != nil
+	return l != nil && !l.hasFailed(now)
+}
+
+// call sends a call over the link.
+func (l *link) call(ctx context.Context, method string, params, answer any) error {
+	conn, err := l.await(ctx)
+	if err != nil {
+		return err
+	}
+	return conn.Call(ctx, method, params, answer)
 }
 
 // envelope names the caller beside the parameters.
@@ -231,6 +242,11 @@
 // keep holds one link open until the hub stops.
 func (h *Hub) keep(l *link) error {
 	for h.tomb.Alive() {
+		select {
+		case <-l.wanted:
+		case <-h.tomb.Dying():
+			return nil
+		}
 		h.keepOnce(l)
 		timer := time.NewTimer(redialPause)
 		select {
@@ -247,37 +263,57 @@
 	raw, err := h.network.Dial(ctx, l.address)
 	cancel()
 	if err != nil {
+		l.fail(time.Now())
 		return
 	}
 	conn := h.open(raw)
-	l.set(conn)
-	defer l.set(nil)
+	l.set(time.Now(), conn)
 	defer conn.Close()
-	h.ping(conn)
+	if err := h.watch(l, conn); err != nil {
+		l.fail(time.Now())
+	}
+	l.set(time.Now(), nil)
 }
 
-// ping returns once the connection has ended or an answer stays out.
-func (h *Hub) ping(conn *jsonrpc2.Conn) {
+// watch returns once the connection has ended: with nil when nobody uses it any more, with an error
+// when it broke or a ping was not answered.
+func (h *Hub) watch(l *link, conn *jsonrpc2.Conn) error {
 	ticker := time.NewTicker(pingPeriod)
 	defer ticker.Stop()
 	for {
-		ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), maxSilence)
-		var pong bool
-		err := conn.Call(ctx, "ping", envelope{From: h.name}, &pong)
-		cancel()
-		if err != nil {
-			return
-		}
 		select {
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if l.isIdle(now) {
+				return nil
+			}
+			if !l.isQuiet(now) {
+				continue
+			}
+			if err := h.ping(l, conn); err != nil {
+				return err
+			}
 		case <-conn.DisconnectNotify():
-			return
+			return ErrNoLink
 		case <-h.tomb.Dying():
-			return
+			return nil
 		}
 	}
 }
 
+// ping makes sure that the other end still answers on this connection.
+func (h *Hub) ping(l *link, conn *jsonrpc2.Conn) error {
+	ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), pingTimeout)
+	defer cancel()
+	var pong bool
+	if err := conn.Call(ctx, "ping", envelope{From: h.name}, &pong); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = time.Now()
+	return nil
+}
+
 // silentLogger drops the library's lines; counters tell of broken links.
 type silentLogger struct{}
 
