Prove the promises on real processes

Cause: scenes in memory can't show what SIGSTOP, SIGKILL and an emptied folder do. Change: one test builds the binary, runs six hosts in three zones with six upstreams, freezes an upstream for 3 s, kills the leader's host, empties its data folder, brings it back and then kills another replica; three mistakes of an operator are checked for place and remedy.

--- /dev/null
+++ b/cmd/lovagelink/process_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/upsim"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+// Addresses of the test, apart from those of other tests.
+const (
+	firstPort    = 26000
+	firstLedger  = 26800
+	testHosts    = 6
+	testRate     = 60
+	commandLimit = 20 * time.Second
+)
+
+// system is a deployment of real processes.
+type system struct {
+	t       *testing.T
+	binary  string
+	folder  string
+	running map[string]*exec.Cmd
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, folder: t.TempDir(), running: make(map[string]*exec.Cmd)}
+	s.binary = filepath.Join(s.folder, "lovagelink")
+	build := exec.Command("go", "build", "-o", s.binary, ".")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	t.Cleanup(func() {
+		for name := range s.running {
+			s.kill(name)
+		}
+	})
+	return s
+}
+
+// start runs a subcommand as a process under a name.
+func (s *system) start(name string, args ...string) {
+	s.t.Helper()
+	command := exec.Command(s.binary, args...)
+	command.Dir = s.folder
+	if err := command.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.running[name] = command
+}
+
+func (s *system) startHost(name string) {
+	s.start(name, "entry", "--settings", filepath.Join("run", name+".yaml"))
+}
+
+func (s *system) kill(name string) {
+	command := s.running[name]
+	delete(s.running, name)
+	_ = command.Process.Kill()
+	_ = command.Wait()
+}
+
+func (s *system) signal(name string, signal os.Signal) {
+	if err := s.running[name].Process.Signal(signal); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// run waits for a subcommand to end and returns what it printed.
+func (s *system) run(args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandLimit)
+	defer cancel()
+	command := exec.CommandContext(ctx, s.binary, args...)
+	command.Dir = s.folder
+	out, err := command.CombinedOutput()
+	return string(out), err
+}
+
+func address(port int) string {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)).String()
+}
+
+// hostPort returns a port of host i: 0 for callers, 1 for upstreams, 2 for operators.
+func hostPort(i, door int) int { return firstPort + 10*i + door }
+
+func (s *system) startUpstream(i int, service, zone string) {
+	s.start(fmt.Sprint("upstream-", i), "upstream", "--id", fmt.Sprint(service, "-", i), "--service", service,
+		"--zone", zone, "--keyed="+fmt.Sprint(service == "plan"), "--address", address(firstLedger+i),
+		"--entries", address(hostPort(i%3, 1))+","+address(hostPort(3+i%3, 1)))
+}
+
+// await retries until a key of each upstream is served.
+func (s *system) await() {
+	for range 200 {
+		served := 0
+		for key := range 8 {
+			response, err := http.Get(fmt.Sprintf("http://%s/plan/wall-%d/layout", address(hostPort(0, 0)), key))
+			if err == nil {
+				if response.Header.Get(verd.Header) == verd.Ran.String() {
+					served++
+				}
+				response.Body.Close()
+			}
+		}
+		if served == 8 {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatal("the system does not serve")
+}
+
+func (s *system) ledgers(count int) []upsim.Run {
+	var runs []upsim.Run
+	for i := range count {
+		response, err := http.Get("http://" + address(firstLedger+i) + "/lovagelink/ledger")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		var part []upsim.Run
+		if err := json.NewDecoder(response.Body).Decode(&part); err != nil {
+			s.t.Fatal(err)
+		}
+		response.Body.Close()
+		runs = append(runs, part...)
+	}
+	return runs
+}
+
+// Real processes: an upstream is frozen and comes back, the leader's host is killed and comes back
+// with an empty disk, and another replica is killed right after the repair.
+func TestProcessesKeepPromises(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	s := newSystem(t)
+	out, err := s.run("settings", "--folder", "run", "--hosts", fmt.Sprint(testHosts), "--port", fmt.Sprint(firstPort))
+	is.NoErr(err)
+	names := []string{"a1", "b1", "c1", "a2", "b2", "c2"}
+	for _, name := range names {
+		s.startHost(name)
+	}
+	config, err := filepath.Abs("../../examples/gauteng.yaml")
+	is.NoErr(err)
+	for range 50 {
+		if out, err = s.run("config", "--at", address(hostPort(0, 2)), "--request-id", "first", "accept", config); err == nil {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	is.NoErr(err) // the configuration is accepted
+	for i, service := range []string{"plan", "plan", "plan", "commission", "commission", "commission"} {
+		s.startUpstream(i, service, string(rune('a'+i%3)))
+	}
+	s.await()
+	var entries []netip.AddrPort
+	for i := range names {
+		entries = append(entries, netip.MustParseAddrPort(address(hostPort(i, 0))))
+	}
+	runner := load.New(load.Settings{
+		Shape: load.Gauteng(), Rate: testRate, Period: 14 * time.Second, Entries: entries, Seed: 1,
+	}, peer.TCP{})
+	done := make(chan *load.Result)
+	go func() { done <- runner.Run(context.Background()) }()
+	time.Sleep(time.Second)
+	s.signal("upstream-0", syscall.SIGSTOP)
+	time.Sleep(3 * time.Second)
+	s.signal("upstream-0", syscall.SIGCONT)
+	s.kill("a1")
+	is.NoErr(os.RemoveAll(filepath.Join(s.folder, "run", "data-a1")))
+	time.Sleep(2 * time.Second)
+	s.startHost("a1")
+	time.Sleep(4 * time.Second)
+	s.kill("b1")
+	result := <-done
+	verdict := result.Judge(s.ledgers(6))
+	for _, tally := range result.Tallies {
+		t.Logf("%s: sent %d served %d refused %d unknown %d p99 %v", tally.Call.Name, tally.Sent,
+			tally.Served, tally.Refused, tally.Unknown, tally.Percentile(99))
+	}
+	t.Logf("%+v", verdict)
+	is.True(verdict.OK())
+	out, err = s.run("config", "--at", address(hostPort(0, 2)), "show")
+	is.NoErr(err)
+	is.True(len(out) > 100) // the configuration has survived
+	s.checkFaults(is)
+}
+
+// checkFaults makes mistakes and looks for an error that names the place and the remedy.
+func (s *system) checkFaults(is *is.I) {
+	is.Helper()
+	out, err := s.run("entry", "--settings", filepath.Join("run", "a2.yaml"))
+	is.True(err != nil) // the addresses are in use
+	s.contains(out, "another process")
+	path := filepath.Join(s.folder, "bad.yaml")
+	is.NoErr(os.WriteFile(path, []byte("name: x\nzoned: a\n"), 0o600))
+	out, err = s.run("entry", "--settings", path)
+	is.True(err != nil) // an unknown field
+	s.contains(out, "zoned")
+	out, err = s.run("load", "--entries", "nowhere")
+	is.True(err != nil)
+	s.contains(out, "IP:PORT")
+}
+
+func (s *system) contains(text, part string) {
+	s.t.Helper()
+	if !strings.Contains(text, part) {
+		s.t.Errorf("%q is missing in %q", part, text)
+	}
+}
