Prove configuration under races and failures, and add metrics

Cause: two promises had no proof at scale: operators with equal versions, and nothing reverting behind hundreds of changes; and counters could not be scraped. Change: 320 racing changes by way of three hosts with a resend of each, then all hosts lost at once; acceptance during the loss of the leader and beside a zone that is cut off, each in force within 4 s; followers compared with the feed they follow; a fuzz target for commands. OpenTelemetry counters and gauges at /metrics of the operators' address.

--- /dev/null
+++ b/internal/disp/bench_test.go
@@ -0,0 +1,88 @@
+package disp
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/verd"
+)
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkBook is the memory and time of remembering one exclusive request with an answer of 2 KB.
+func BenchmarkBook(b *testing.B) {
+	const records = 50_000
+	b.ReportAllocs()
+	now := time.Now()
+	before := heap()
+	book := NewBook()
+	for i := range records {
+		r := Request{Service: "plan", Slot: i % 64, ID: fmt.Sprint("request-", i), Token: fmt.Sprint("token-token-token-", i)}
+		one, _ := book.begin(now, r)
+		book.finish(one, Outcome{Verdict: verd.Ran, Status: 200, Body: make([]byte, 2048)})
+	}
+	size := float64(heap()-before) / records
+	for i := 0; b.Loop(); i++ {
+		r := Request{Service: "plan", ID: fmt.Sprint("more-", i)}
+		one, _ := book.begin(now, r)
+		book.finish(one, notRun("x"))
+	}
+	b.ReportMetric(size, "heap-bytes/record")
+	runtime.KeepAlive(book)
+}
+
+// BenchmarkSync is a host's work for one change of the state, at several numbers of slots.
+func BenchmarkSync(b *testing.B) {
+	for _, slots := range []int{1024, 8192, 65536} {
+		b.Run(fmt.Sprintf("slots-%d", slots), func(b *testing.B) {
+			b.ReportAllocs()
+			before := heap()
+			feed := feedOf(slots)
+			size := heap() - before
+			s := NewSet(feed, "x", Deps{Host: "host-1"})
+			for b.Loop() {
+				s.present()
+			}
+			b.ReportMetric(float64(size)/float64(slots), "heap-bytes/slot")
+			runtime.KeepAlive(feed)
+		})
+	}
+}
+
+func feedOf(slots int) *state.Feed {
+	const config = `ranks: [{name: all, target: 1s, worth: 1}]
+services:
+  - {name: plan, route: /plan/, key: {segment: 2}, slots: %d, rules: [{methods: [GET], rank: all, idempotent: true, deadline: 1s}]}
+`
+	feed := state.NewFeed()
+	index := uint64(0)
+	apply := func(c state.Command) {
+		index++
+		data, _ := json.Marshal(c)
+		feed.Apply(index, data)
+	}
+	apply(state.Command{Accept: &state.Accept{RequestID: "r", Body: fmt.Sprintf(config, slots)}})
+	count := slots / 16
+	var assigns []state.Assign
+	var dispatches []state.Dispatch
+	for i := range count {
+		id := fmt.Sprint("plan-", i)
+		apply(state.Command{Join: &state.Join{Upstream: state.Announced{ID: id, Service: "plan"}}})
+		dispatches = append(dispatches, state.Dispatch{Upstream: id, Host: fmt.Sprint("host-", i%(count/3)), Incarnation: "x"})
+	}
+	apply(state.Command{Dispatch: dispatches})
+	for i := range slots {
+		assigns = append(assigns, state.Assign{Service: "plan", Slot: i, Owner: fmt.Sprint("plan-", i%count)})
+	}
+	apply(state.Command{Assign: assigns})
+	return feed
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -178,7 +178,11 @@
 	if err := h.openForward(); err != nil {
 		return trace.Wrap(err, "address for forwarded requests; is another process using it?")
 	}
-	if err := h.open(h.settings.Operators, h.operatorMux()); err != nil {
+	operators, err := h.operatorMux()
+	if err != nil {
+		return trace.Wrap(err, "metrics")
+	}
+	if err := h.open(h.settings.Operators, operators); err != nil {
 		return trace.Wrap(err, "address for operators; is another process using it?")
 	}
 	listener, err := h.network.Listen(h.settings.Callers)
--- a/internal/entry/oper.go
+++ b/internal/entry/oper.go
@@ -37,8 +37,13 @@
 }
 
 // operatorMux serves operators; it listens on an address of its own, out of callers' reach.
-func (h *Host) operatorMux() http.Handler {
+func (h *Host) operatorMux() (http.Handler, error) {
+	metrics, err := h.metricsHandler()
+	if err != nil {
+		return nil, err
+	}
 	mux := goji.NewMux()
+	mux.Handle(pat.Get("/metrics"), metrics)
 	mux.HandleFunc(pat.Get("/status"), func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, h.Status(time.Now()))
 	})
@@ -49,7 +54,7 @@
 	mux.HandleFunc(pat.Post("/config"), h.serveAccept)
 	mux.HandleFunc(pat.Get("/progress"), h.serveProgress)
 	mux.HandleFunc(pat.Post("/drain/:upstream"), h.serveDrain)
-	return mux
+	return mux, nil
 }
 
 // Status returns what the host knows at present.
--- /dev/null
+++ b/internal/fleet/config_test.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lovagelink.example/lovagelink/examples"
+	"lovagelink.example/lovagelink/internal/state"
+)
+
+// inForceWithin is the target for an accepted configuration to be in force everywhere.
+const inForceWithin = 4 * time.Second
+
+// accept has an operator change the configuration by way of one host.
+func (sc *scene) accept(host int, id string, expected uint64) (state.Accepted, error) {
+	return sc.Hosts[host].Accept(context.Background(), state.Accept{
+		RequestID: id, Expected: expected, Body: examples.Gauteng + "# " + id + "\n",
+	})
+}
+
+// awaitVersion waits until the hosts that are named have a version in force.
+func (sc *scene) awaitVersion(version uint64, isWanted func(host int) bool) {
+	sc.t.Helper()
+	began := time.Now()
+	for i, host := range sc.Hosts {
+		for isWanted(i) && host.Status(time.Now()).Version < version {
+			if time.Since(began) > inForceWithin {
+				sc.t.Fatalf("version %d is not in force on %s after %v", version, sc.Settings[i].Name, inForceWithin)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func everyHost(int) bool { return true }
+
+// Operators race each other with equal versions through 320 changes, and resend. Then all hosts are
+// lost and start again: nothing reverts.
+func TestConfigNeverReverts(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		sc := open(t, smallSetup())
+		version := uint64(1)
+		for round := range 160 {
+			answers := make([]state.Accepted, 2)
+			var group sync.WaitGroup
+			for i := range answers {
+				group.Go(func() { answers[i], _ = sc.accept((round+i)%3, fmt.Sprint(round, "-", i), version) })
+			}
+			group.Wait()
+			winner := 0
+			if answers[0].Refused != "" {
+				winner = 1
+			}
+			is.Equal(answers[winner].Refused, "")                                     // one wins
+			is.True(strings.Contains(answers[1-winner].Refused, "is accepted"))       // the other is told
+			is.Equal(answers[winner].Version, version+1)                              // and versions rise
+			again, err := sc.accept(round%3, fmt.Sprint(round, "-", winner), version) // a resend
+			is.NoErr(err)
+			is.Equal(again, answers[winner])
+			version = again.Version
+		}
+		sc.awaitVersion(version, everyHost)
+		for i := range sc.Hosts {
+			sc.Hosts[i].Kill()
+		}
+		for i := range sc.Hosts {
+			restart(sc, i)
+		}
+		sc.awaitVersion(version, everyHost)
+		for _, host := range sc.Hosts {
+			is.Equal(host.Status(time.Now()).Version, version)
+		}
+	})
+}
+
+// A configuration is in force within the target while the leader is lost, and on a zone that was cut
+// off once it is back.
+func TestConfigThroughFailures(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		s := smallSetup()
+		s.hosts = 6
+		sc := open(t, s)
+		lost := sc.leader()
+		sc.Hosts[lost].Kill()
+		accepted, err := sc.accept((lost+1)%6, "during-loss", 1)
+		is.NoErr(err)
+		sc.awaitVersion(accepted.Version, func(host int) bool { return host != lost })
+		restart(sc, lost)
+		zone := sc.zoneOf((lost + 1) % 6)
+		sc.net.Cut(isolated(zone))
+		time.Sleep(5 * time.Second)
+		accepted, err = sc.accept((lost+2)%6, "during-cut", 2)
+		is.NoErr(err)
+		sc.awaitVersion(accepted.Version, func(host int) bool { return sc.zoneOf(host) != zone })
+		_, err = sc.accept((lost+1)%6, "in-the-cut", 3)
+		is.True(err != nil) // a zone without a quorum accepts nothing
+		sc.net.Heal()
+		sc.awaitVersion(accepted.Version, everyHost)
+	})
+}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,130 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func apply(t interface{ Fatal(...any) }, f *Feed, index uint64, c Command) Accepted {
+	data, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var accepted Accepted
+	if answer := f.Apply(index, data); answer != nil {
+		if err := json.Unmarshal(answer, &accepted); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return accepted
+}
+
+func body(slots int) string { return fmt.Sprintf(benchConfig, slots) }
+
+// Of two operators with equal versions one wins, and a resend gets the first answer, also when the
+// configuration has changed since.
+func TestAcceptRaces(t *testing.T) {
+	is := is.New(t)
+	f := NewFeed()
+	first := apply(t, f, 1, Command{Accept: &Accept{RequestID: "a", Body: body(8)}})
+	second := apply(t, f, 2, Command{Accept: &Accept{RequestID: "b", Body: body(8)}})
+	is.Equal(first.Version, uint64(1))
+	is.True(strings.Contains(second.Refused, "expected version 0 but 1 is accepted"))
+	third := apply(t, f, 3, Command{Accept: &Accept{RequestID: "c", Expected: 1, Body: body(8) + "# third\n"}})
+	is.Equal(third.Version, uint64(2))
+	is.Equal(apply(t, f, 4, Command{Accept: &Accept{RequestID: "a", Body: body(8)}}), first)
+	f.Read(func(s *State) { is.Equal(s.Version, uint64(2)) })
+	other := apply(t, f, 5, Command{Accept: &Accept{RequestID: "d", Expected: 2, Body: body(16)}})
+	is.True(strings.Contains(other.Refused, "can't change"))
+}
+
+// A command that rests on an outdated epoch changes nothing.
+func TestOutdatedEpochs(t *testing.T) {
+	is := is.New(t)
+	f := sized(16)
+	index := f.Index()
+	slot := func() (slot Slot) {
+		f.Read(func(s *State) { slot = s.Tables["plan"].Slots[3] })
+		return slot
+	}
+	before := slot()
+	apply(t, f, index+1, Command{Assign: []Assign{{Service: "plan", Slot: 3, Epoch: before.Epoch - 1, Owner: ""}}})
+	is.Equal(slot(), before)
+	apply(t, f, index+2, Command{Lose: &Lose{Upstream: "plan-0", Epoch: 99}})
+	is.Equal(slot(), before)
+	apply(t, f, index+3, Command{Lose: &Lose{Upstream: "plan-0", Epoch: 0}})
+	is.Equal(slot(), Slot{Epoch: index + 3})
+	apply(t, f, index+4, Command{Assign: []Assign{{Service: "plan", Slot: 3, Epoch: index + 3, Owner: "plan-0"}}})
+	is.Equal(slot().Owner, "") // a lost upstream gets nothing
+}
+
+// Epochs only rise, whatever commands come; and a follower that gets batches or snapshots at any
+// points holds the same state as the feed that it follows.
+func TestFollowersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leader, follower := sized(16), NewFeed()
+		index := leader.Index()
+		epochs := make([]uint64, 16)
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			index += uint64(rapid.IntRange(1, 3).Draw(t, "gap"))
+			slot := rapid.IntRange(0, 15).Draw(t, "slot")
+			owner := fmt.Sprint("plan-", rapid.IntRange(0, 2).Draw(t, "owner"))
+			epoch := uint64(rapid.IntRange(0, int(index)).Draw(t, "epoch"))
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				apply(t, leader, index, Command{Assign: []Assign{{Service: "plan", Slot: slot, Epoch: epoch, Owner: owner}}})
+			case 1:
+				apply(t, leader, index, Command{Lose: &Lose{Upstream: owner, Epoch: epoch}})
+			case 2:
+				apply(t, leader, index, Command{Join: &Join{Upstream: Announced{ID: owner, Service: "plan"}}})
+			case 3:
+				apply(t, leader, index, Command{Dispatch: []Dispatch{{Upstream: owner, Epoch: epoch, Host: "h"}}})
+			}
+			leader.Read(func(s *State) {
+				for i, slot := range s.Tables["plan"].Slots {
+					if slot.Epoch < epochs[i] {
+						t.Fatalf("epoch of slot %d fell from %d to %d", i, epochs[i], slot.Epoch)
+					}
+					epochs[i] = slot.Epoch
+				}
+			})
+			if rapid.Bool().Draw(t, "follow") {
+				batch, err := leader.Since(follower.Index())
+				if err != nil || follower.Follow(batch) != nil {
+					t.Fatal("follower has diverged")
+				}
+			}
+		}
+		batch, err := leader.Since(follower.Index())
+		if err != nil || follower.Follow(batch) != nil {
+			t.Fatal("follower has diverged")
+		}
+		mine, _ := leader.Snapshot()
+		theirs, _ := follower.Snapshot()
+		if string(mine) != string(theirs) {
+			t.Fatalf("states differ:\n%s\n%s", mine, theirs)
+		}
+	})
+}
+
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"accept":{"request-id":"a","body":"x"}}`))
+	f.Add([]byte(`{"assign":[{"service":"plan","slot":-1}]}`))
+	f.Add([]byte(`{"move":[{"service":"plan","slot":99,"to":"plan-0"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		feed := sized(4)
+		feed.Apply(feed.Index()+1, data)
+		snapshot, err := feed.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(snapshot); err != nil {
+			t.Fatalf("state can't be read back: %v", err)
+		}
+	})
+}
