--- a/internal/ctrl/client.go
+++ b/internal/ctrl/client.go
@@ -8,6 +8,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"lovagelink.example/lovagelink/internal/event"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 )
@@ -29,6 +30,7 @@
 	feed     *state.Feed
 	replicas []string // own zone first
 	reporter Reporter
+	clock    *event.Clock
 	nudge    chan struct{}
 	tomb     tomb.Tomb
 
@@ -42,9 +44,9 @@
 }
 
 // NewClient returns a client; replicas lists the hosts of the log, the nearest first.
-func NewClient(name string, hub *peer.Hub, feed *state.Feed, replicas []string, reporter Reporter) *Client {
+func NewClient(name string, hub *peer.Hub, feed *state.Feed, replicas []string, reporter Reporter, clock *event.Clock) *Client {
 	c := &Client{
-		name: name, hub: hub, feed: feed, replicas: replicas, reporter: reporter,
+		name: name, hub: hub, feed: feed, replicas: replicas, reporter: reporter, clock: clock,
 		nudge: make(chan struct{}, 1),
 	}
 	peer.On(hub, "watch", c.handleWatch)
@@ -233,6 +235,7 @@
 	if err != nil {
 		return err
 	}
+	c.clock.Observe(batch.Stamp)
 	if err := c.feed.Follow(batch); err != nil {
 		return err
 	}
@@ -261,7 +264,9 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	_ = c.feed.Await(ctx, args.Index+1)
-	return c.feed.Since(args.Index)
+	batch, err := c.feed.Since(args.Index)
+	batch.Stamp = c.clock.Next(time.Now())
+	return batch, err
 }
 
 func pause(ctx context.Context, period time.Duration) {
--- a/internal/ctrl/wire.go
+++ b/internal/ctrl/wire.go
@@ -12,7 +12,7 @@
 	beatPeriod   = 200 * time.Millisecond
 	callTimeout  = 400 * time.Millisecond
 	watchTimeout = time.Second
-	loadPeriod   = time.Second
+	loadPeriod   = 5 * time.Second
 	stepPeriod   = 50 * time.Millisecond
 )
 
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -136,6 +136,9 @@
 	defer plain.Close()
 	local := hostFor(b, f, "wall-1", true)
 	remote := hostFor(b, f, "wall-1", false)
+	b.Run("direct", func(b *testing.B) {
+		drive(b, http.MethodGet, func() string { return upstream.URL + "/plan/wall-1/layout" })
+	})
 	b.Run("bare", func(b *testing.B) {
 		drive(b, http.MethodGet, func() string { return plain.URL + "/plan/wall-1/layout" })
 	})
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -81,7 +81,6 @@
 		network:  network,
 		logger:   log.With(logger, "host", settings.Name),
 		zones:    make(map[string]string),
-		line:     event.NewLine(settings.Name, &event.Clock{}),
 		feed:     state.NewFeed(),
 		book:     disp.NewBook(),
 		attempts: newAttempts(),
@@ -102,9 +101,11 @@
 	if err := h.openReplica(now); err != nil {
 		return nil, err
 	}
+	clock := &event.Clock{}
+	h.line = event.NewLine(settings.Name, clock)
 	h.zoneLease = &zoneLease{host: h}
 	incarnation := newToken()
-	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), &reporter{h, incarnation})
+	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), &reporter{h, incarnation}, clock)
 	h.disps = disp.NewSet(h.feed, incarnation, disp.Deps{
 		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Witness: witness{h}, Historian: h,
 		Control: h, Book: h.book, Stats: &h.dispatch,
--- a/internal/state/feed.go
+++ b/internal/state/feed.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+
+	"lovagelink.example/lovagelink/internal/event"
 )
 
 // keptEntries is how many commands a feed keeps for followers that are a little behind.
@@ -27,6 +29,8 @@
 	Snapshot []byte  `json:"snapshot,omitempty"`
 	Index    uint64  `json:"index"`
 	Digest   uint64  `json:"digest"`
+
+	Stamp event.Stamp `json:"stamp"` // of the time line, so that what follows comes later in it
 }
 
 // Feed is a copy of the state that others can follow. On a replica the log drives it; elsewhere it
