--- a/cmd/lovagelink/process_test.go
+++ b/cmd/lovagelink/process_test.go
@@ -37,6 +37,7 @@
 	binary  string
 	folder  string
 	running map[string]*exec.Cmd
+	checks  bool // upstreams refuse orders without a valid grant
 }
 
 func newSystem(t *testing.T) *system {
@@ -102,7 +103,7 @@
 
 func (s *system) startUpstream(i int, service, zone string) {
 	s.start(fmt.Sprint("upstream-", i), "upstream", "--id", fmt.Sprint(service, "-", i), "--service", service,
-		"--zone", zone, "--keyed="+fmt.Sprint(service == "plan"), "--address", address(firstLedger+i),
+		"--zone", zone, "--keyed="+fmt.Sprint(service == "plan"), "--checks="+fmt.Sprint(s.checks), "--address", address(firstLedger+i),
 		"--entries", address(hostPort(i%3, 1))+","+address(hostPort(3+i%3, 1)))
 }
 
@@ -144,14 +145,21 @@
 	return runs
 }
 
-// Real processes: an upstream is frozen and comes back, the leader's host is killed and comes back
-// with an empty disk, and another replica is killed right after the repair.
+// Real processes: an upstream is frozen and comes back, then a dispatcher's host; the leader's host is
+// killed and comes back with an empty disk, and another replica is killed right after the repair.
 func TestProcessesKeepPromises(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprint("checks-", checks), func(t *testing.T) { runProcesses(t, checks) })
+	}
+}
+
+func runProcesses(t *testing.T, checks bool) {
 	is := is.New(t)
 	s := newSystem(t)
+	s.checks = checks
 	out, err := s.run("settings", "--folder", "run", "--hosts", fmt.Sprint(testHosts), "--port", fmt.Sprint(firstPort))
 	is.NoErr(err)
 	names := []string{"a1", "b1", "c1", "a2", "b2", "c2"}
@@ -176,7 +184,7 @@
 		entries = append(entries, netip.MustParseAddrPort(address(hostPort(i, 0))))
 	}
 	runner := load.New(load.Settings{
-		Shape: load.Gauteng(), Rate: testRate, Period: 14 * time.Second, Entries: entries, Seed: 1,
+		Shape: load.Gauteng(), Rate: testRate, Period: 19 * time.Second, Entries: entries, Seed: 1,
 	}, peer.TCP{})
 	done := make(chan *load.Result)
 	go func() { done <- runner.Run(context.Background()) }()
@@ -184,6 +192,10 @@
 	s.signal("upstream-0", syscall.SIGSTOP)
 	time.Sleep(3 * time.Second)
 	s.signal("upstream-0", syscall.SIGCONT)
+	s.signal("c1", syscall.SIGSTOP)
+	time.Sleep(3 * time.Second)
+	s.signal("c1", syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
 	s.kill("a1")
 	is.NoErr(os.RemoveAll(filepath.Join(s.folder, "run", "data-a1")))
 	time.Sleep(2 * time.Second)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,11 +20,13 @@
 
 // Group is a number of alike upstreams.
 type Group struct {
-	Service string
-	Count   int
-	Slots   int
-	Keyed   bool
-	Work    time.Duration
+	Service   string
+	Count     int
+	Slots     int
+	Keyed     bool
+	Work      time.Duration
+	Cold      time.Duration // after the start, work takes longer
+	ShedAbove int           // requests at a time above which work is refused; 0 means never
 }
 
 // Plan describes a deployment.
@@ -127,7 +129,7 @@
 			settings := upsim.Settings{
 				ID: fmt.Sprintf("%s-%02d", group.Service, i+1), Service: group.Service, Zone: zone,
 				Address: address, Slots: group.Slots, Connections: 120, Checks: plan.Checks,
-				Keyed: group.Keyed, Work: group.Work, AnswerBytes: 2048, Entries: f.doors(zone),
+				Keyed: group.Keyed, Work: group.Work, Cold: group.Cold, ShedAbove: group.ShedAbove, AnswerBytes: 2048, Entries: f.doors(zone),
 			}
 			if plan.Naive {
 				settings.Entries = f.allDoors()
--- a/internal/fleet/resend_test.go
+++ b/internal/fleet/resend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -36,6 +37,26 @@
 	return response.Header.Get(verd.Header)
 }
 
+// send makes any request and returns its verdict and its answer.
+func (sc *scene) send(entry netip.AddrPort, method, path, id, body string) (verdict, text string) {
+	client := &http.Client{Transport: &http.Transport{DialContext: dialOf(sc.net.At("callers", "caller"))}}
+	defer client.CloseIdleConnections()
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s%s", entry, path), strings.NewReader(body))
+	if err != nil {
+		sc.t.Fatal(err)
+	}
+	if id != "" {
+		request.Header.Set("Request-Id", id)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return "", err.Error()
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	return response.Header.Get(verd.Header), string(data)
+}
+
 // keyAt returns a key whose dispatcher is one of the first hosts of the zones, and that host.
 func (sc *scene) keyAt(isWanted func(host int) bool) (key string, host int) {
 	for number := range 500 {
