--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -121,6 +121,17 @@
 	return served, asked
 }
 
+// Over returns how many served requests took longer than a limit.
+func (t *Tally) Over(limit time.Duration) int {
+	count := int64(0)
+	for _, bar := range t.Latency.Distribution() {
+		if bar.From > limit.Microseconds() {
+			count += bar.Count
+		}
+	}
+	return int(count)
+}
+
 // Percentile returns a latency of the served requests.
 func (t *Tally) Percentile(percent float64) time.Duration {
 	return time.Duration(t.Latency.ValueAtQuantile(percent)) * time.Microsecond
