Watch grants for two owners, and split what had grown long

Cause: ledgers show two owners only where both ran work; the entry host's file held doors, stopping and reports; the dial function stood in five places and the pause in three. Ruled out: nothing to weigh. Conclusion: behaviour is unchanged but for the way back to a preferred source.

--- a/internal/cmds/operate.go
+++ b/internal/cmds/operate.go
@@ -33,6 +33,8 @@
 // defaultOperator is the operators' address of the first host that the settings command writes.
 const defaultOperator = "127.0.0.1:7002"
 
+const atUsage = "operators' address of any host"
+
 var operatorClient = &http.Client{Timeout: 8 * time.Second}
 
 func parseAddresses(text string) ([]netip.AddrPort, error) {
@@ -80,7 +82,7 @@
 		short: "show the accepted configuration, check a file, or accept one",
 		usage: "config [--at IP:PORT] show | check FILE | accept --expected VERSION FILE",
 		flags: func(flags *flag.FlagSet) {
-			flags.StringVar(&at, "at", defaultOperator, "operators' address of any host")
+			flags.StringVar(&at, "at", defaultOperator, atUsage)
 			flags.Uint64Var(&expected, "expected", 0, "version that the change rests on")
 			flags.StringVar(&id, "request-id", "", "id of the change; the same one to resend it")
 		},
@@ -175,7 +177,7 @@
 		short: "show hosts, zones, leader and upstreams",
 		usage: "status [--at IP:PORT]",
 		flags: func(flags *flag.FlagSet) {
-			flags.StringVar(&at, "at", defaultOperator, "operators' address of any host")
+			flags.StringVar(&at, "at", defaultOperator, atUsage)
 		},
 		run: func(ctx context.Context, _ []string, out io.Writer) error {
 			var status entry.Status
--- a/internal/ctrl/bench_test.go
+++ b/internal/ctrl/bench_test.go
@@ -26,7 +26,7 @@
 	for _, name := range names {
 		hub := peer.New(peer.TCP{}, name, addresses)
 		setup := paxos.Setup{Name: name, Folder: b.TempDir(), Founders: names, Timing: paxos.DefaultTiming()}
-		leader, err := NewLeader(time.Now(), setup, name, hub, state.NewFeed())
+		leader, err := NewLeader(time.Now(), setup, hub, state.NewFeed())
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/ctrl/client.go
+++ b/internal/ctrl/client.go
@@ -9,6 +9,7 @@
 	"gopkg.in/tomb.v2"
 
 	"lovagelink.example/lovagelink/internal/event"
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 )
@@ -141,7 +142,7 @@
 		} else {
 			target = ""
 		}
-		pause(ctx, 20*time.Millisecond)
+		pause.For(ctx, 20*time.Millisecond)
 	}
 	var none R
 	return none, ErrNoLeader
@@ -213,22 +214,36 @@
 	}
 }
 
-// watchLoop follows the feed of one source until it fails or has nothing new, then that of the next.
+// watchLoop follows the preferred source; when that fails or has nothing new, the others in turn, each
+// for a while.
 func (c *Client) watchLoop() error {
 	ctx := c.tomb.Context(context.Background())
-	for turn := 0; c.tomb.Alive(); turn++ {
+	for turn := 0; c.tomb.Alive(); {
 		source := c.sources[turn%len(c.sources)]
-		if source == c.name {
-			source = c.sources[(turn+1)%len(c.sources)]
-		}
-		for c.tomb.Alive() && c.watch(ctx, source) == nil {
+		if source != c.name && c.watchSource(ctx, source, turn > 0) {
+			turn = 0
 			continue
 		}
-		pause(ctx, 20*time.Millisecond)
+		turn = (turn + 1) % len(c.sources)
+		pause.For(ctx, watchPause)
 	}
 	return nil
 }
 
+// watchSource follows one source until it fails; it reports true when its time as a substitute is over.
+func (c *Client) watchSource(ctx context.Context, source string, isSubstitute bool) bool {
+	began := time.Now()
+	for c.tomb.Alive() {
+		if isSubstitute && time.Since(began) > substitutePeriod {
+			return true
+		}
+		if c.watch(ctx, source) != nil {
+			return false
+		}
+	}
+	return false
+}
+
 func (c *Client) watch(ctx context.Context, source string) error {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
 	defer cancel()
@@ -269,12 +284,3 @@
 	batch.Stamp = c.clock.Next(time.Now())
 	return batch, err
 }
-
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/ctrl/leader.go
+++ b/internal/ctrl/leader.go
@@ -20,7 +20,6 @@
 // owners of slots. On a replica that does not lead it only points to the one that does.
 type Leader struct {
 	name    string
-	zone    string
 	replica *paxos.Replica
 	feed    *state.Feed
 	tomb    tomb.Tomb
@@ -49,12 +48,12 @@
 }
 
 // NewLeader opens the replica of this host and answers for it on the hub.
-func NewLeader(now time.Time, setup paxos.Setup, zone string, hub *peer.Hub, feed *state.Feed) (*Leader, error) {
+func NewLeader(now time.Time, setup paxos.Setup, hub *peer.Hub, feed *state.Feed) (*Leader, error) {
 	replica, err := paxos.New(now, setup, transport{hub}, feed)
 	if err != nil {
 		return nil, err
 	}
-	l := &Leader{name: setup.Name, zone: zone, replica: replica, feed: feed}
+	l := &Leader{name: setup.Name, replica: replica, feed: feed}
 	l.reset(now)
 	serveReplica(hub, replica)
 	peer.On(hub, "beat", l.handleBeat)
--- a/internal/ctrl/wire.go
+++ b/internal/ctrl/wire.go
@@ -14,6 +14,9 @@
 	watchTimeout = time.Second
 	loadPeriod   = 5 * time.Second
 	stepPeriod   = 50 * time.Millisecond
+
+	watchPause       = 20 * time.Millisecond
+	substitutePeriod = 5 * time.Second // after which the preferred source is tried again
 )
 
 // Beat is an entry host's heartbeat; one heartbeat renews the lease for all that the host holds.
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -9,6 +9,7 @@
 	"gopkg.in/tomb.v2"
 
 	"lovagelink.example/lovagelink/internal/ctrl"
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/queue"
@@ -191,7 +192,7 @@
 	ctx := d.tomb.Context(context.Background())
 	history := d.Historian.Collect(ctx, d.upstream.ID, d.epoch, d.upstream.Service, slots)
 	if d.before != "" && d.before != d.Host && !history.Answered[d.before] {
-		pause(ctx, time.Until(began.Add(d.handOver())))
+		pause.For(ctx, time.Until(began.Add(d.handOver())))
 		history = d.Historian.Collect(ctx, d.upstream.ID, d.epoch, d.upstream.Service, slots)
 	}
 	d.Book.Import(time.Now(), history.Notes)
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/pkg/queue"
 	"lovagelink.example/lovagelink/pkg/verd"
 )
@@ -123,16 +124,7 @@
 		if !isRunning || !d.Book.isOpen(one) || ctx.Err() != nil {
 			return history
 		}
-		pause(ctx, searchPause)
-	}
-}
-
-func pause(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, searchPause)
 	}
 }
 
--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"time"
 
@@ -25,16 +24,9 @@
 )
 
 func newClient(network peer.Network, connections int, idle time.Duration) *http.Client {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			return nil, err
-		}
-		return network.Dial(ctx, to)
-	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
+			DialContext:         peer.DialHTTP(network),
 			MaxConnsPerHost:     max(connections, 1),
 			MaxIdleConnsPerHost: max(connections, 1),
 			IdleConnTimeout:     idle,
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"lovagelink.example/lovagelink/internal/ctrl"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/verd"
 )
@@ -93,19 +92,3 @@
 	}
 	return nil
 }
-
-// reporter makes the heartbeats of a host.
-type reporter struct {
-	host        *Host
-	incarnation string
-}
-
-// Report tells what the next heartbeat should say.
-func (r *reporter) Report(now time.Time, withLoads bool) ctrl.Beat {
-	h := r.host
-	beat := ctrl.Beat{Zone: h.settings.Zone, Incarnation: r.incarnation}
-	beat.Leaving = h.isLeaving()
-	h.feed.Read(func(s *state.State) { beat.Announced = h.heard.unknown(now, s) })
-	h.disps.Report(now, withLoads, &beat)
-	return beat
-}
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -54,13 +54,9 @@
 
 func newHop(network peer.Network, addresses map[string]netip.AddrPort) *hop {
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			return nil, err
-		}
 		ctx, cancel := context.WithTimeout(ctx, hopSilence)
 		defer cancel()
-		return network.Dial(ctx, to)
+		return peer.DialHTTP(network)(ctx, "", address)
 	}
 	transport := &http.Transport{
 		DialContext:        dial,
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -125,7 +123,7 @@
 		Name: h.settings.Name, Folder: h.settings.DataFolder,
 		Founders: h.settings.Replicas(), Timing: paxos.DefaultTiming(),
 	}
-	leader, err := ctrl.NewLeader(now, setup, h.settings.Zone, h.hub, h.feed)
+	leader, err := ctrl.NewLeader(now, setup, h.hub, h.feed)
 	if err != nil {
 		return trace.Wrap(err, "data-folder %s", h.settings.DataFolder)
 	}
@@ -191,185 +189,6 @@
 	return nil
 }
 
-// openDoors opens the addresses for upstreams and operators, and makes sure that the one for
-// callers is free.
-func (h *Host) openDoors() error {
-	if err := h.open(h.settings.Upstreams, h.upstreamMux()); err != nil {
-		return trace.Wrap(err, "address for upstreams; is another process using it?")
-	}
-	if err := h.openForward(); err != nil {
-		return trace.Wrap(err, "address for forwarded requests; is another process using it?")
-	}
-	operators, err := h.operatorMux()
-	if err != nil {
-		return trace.Wrap(err, "metrics")
-	}
-	if err := h.open(h.settings.Operators, operators); err != nil {
-		return trace.Wrap(err, "address for operators; is another process using it?")
-	}
-	listener, err := h.network.Listen(h.settings.Callers)
-	if err != nil {
-		return trace.Wrap(err, "address for callers; is another process using it?")
-	}
-	return listener.Close()
-}
-
-// openForward takes the requests of other hosts to the dispatchers here.
-func (h *Host) openForward() error {
-	self, _ := h.settings.Self()
-	mux := goji.NewMux()
-	mux.HandleFunc(pat.Post(hopPath), h.serveRun)
-	return h.open(self.Forward, mux)
-}
-
-// openCallers opens the address for callers once this host knows what the leader knows. A host that
-// is cut off from the leader serves from what it has after a while.
-func (h *Host) openCallers() error {
-	began := time.Now()
-	for h.tomb.Alive() && !h.isLeaving() {
-		hasWaited := time.Since(began) > stateMaxWait && h.hasConfig()
-		if h.client.IsCurrent() || hasWaited {
-			h.restored.Store(h.restoreBook(h.tomb.Context(context.Background())))
-			return h.open(h.settings.Callers, h)
-		}
-		timer := time.NewTimer(stateCheckPause)
-		select {
-		case <-timer.C:
-		case <-h.tomb.Dying():
-		}
-		timer.Stop()
-	}
-	return nil
-}
-
-func (h *Host) hasConfig() bool {
-	has := false
-	h.feed.Read(func(s *state.State) { has = s.Version > 0 })
-	return has
-}
-
-func (h *Host) isLeaving() bool {
-	select {
-	case <-h.leaving:
-		return true
-	default:
-		return false
-	}
-}
-
-// serveReady tells the platform's balancer whether to send callers here.
-func (h *Host) serveReady(w http.ResponseWriter) {
-	if h.isLeaving() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-func (h *Host) open(address netip.AddrPort, handler http.Handler) error {
-	listener, err := h.network.Listen(address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: new(http.Protocols)}
-	server.Protocols.SetHTTP1(true)
-	server.Protocols.SetUnencryptedHTTP2(true)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.tomb.Alive() {
-		return listener.Close()
-	}
-	h.servers = append(h.servers, server)
-	h.tomb.Go(func() error { return serve(server, listener) })
-	return nil
-}
-
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
-}
-
-// Stop ends the host without cutting a request: its roles go to other hosts, then what is under
-// way ends, then the links close.
-func (h *Host) Stop(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, stopPatience)
-	defer cancel()
-	h.note("host-stopping", "", "")
-	close(h.leaving)
-	h.client.Nudge()
-	h.awaitNoRoles(ctx)
-	awaitPeriod(ctx, leavePeriod)
-	h.handOverBook(ctx)
-	for _, server := range h.doors() {
-		_ = server.Shutdown(ctx)
-	}
-	h.Kill()
-}
-
-func (h *Host) doors() []*http.Server {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return slices.Clone(h.servers)
-}
-
-// awaitNoRoles waits until other hosts have taken over and the work here has ended.
-func (h *Host) awaitNoRoles(ctx context.Context) {
-	ticker := time.NewTicker(20 * time.Millisecond)
-	defer ticker.Stop()
-	for {
-		now := time.Now()
-		hasLease := now.Before(h.client.LeaseUntil())
-		hasNoRoles := len(h.disps.Health(now)) == 0 || !hasLease || h.isLastHost()
-		if hasNoRoles && h.hopsIn.Load() == 0 && h.disps.Busy(now) == 0 {
-			return
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func awaitPeriod(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// isLastHost reports whether no other host is left to take over.
-func (h *Host) isLastHost() bool {
-	others := 0
-	h.feed.Read(func(s *state.State) {
-		for name, host := range s.Hosts {
-			if host.Up && name != h.settings.Name {
-				others++
-			}
-		}
-	})
-	return others == 0
-}
-
-// Kill ends the host at once, as a crash would.
-func (h *Host) Kill() {
-	h.tomb.Kill(nil)
-	for _, server := range h.doors() {
-		_ = server.Close()
-	}
-	h.disps.Stop()
-	h.client.Stop()
-	if h.leader != nil {
-		h.leader.Stop()
-	}
-	h.hub.Stop()
-	h.hop.client.CloseIdleConnections()
-}
-
 // watchState notes changes of the state in the time line.
 func (h *Host) watchState() error {
 	previous := newView()
@@ -412,16 +231,3 @@
 	mux.HandleFunc(pat.Post("/lovagelink/announce"), h.serveAnnounce)
 	return mux
 }
-
-func lostReport(upstream string, epoch uint64) ctrl.LostReport {
-	return ctrl.LostReport{Upstream: upstream, Epoch: epoch}
-}
-
-func releasedSlots(service string, slots map[int]uint64) []ctrl.Released {
-	var released []ctrl.Released
-	for slot, epoch := range slots {
-		released = append(released, ctrl.Released{Service: service, Slot: slot, Epoch: epoch})
-	}
-	slices.SortFunc(released, func(a, b ctrl.Released) int { return a.Slot - b.Slot })
-	return released
-}
--- a/internal/entry/zone.go
+++ b/internal/entry/zone.go
@@ -7,7 +7,6 @@
 
 	"lovagelink.example/lovagelink/internal/conf"
 	"lovagelink.example/lovagelink/internal/disp"
-	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/place"
 )
@@ -147,17 +146,3 @@
 	})
 	return isLocal
 }
-
-// ask calls some other hosts at once.
-func ask[R any](ctx context.Context, h *Host, hosts []string, method string, args any) []answer[R] {
-	answers := make([]answer[R], len(hosts))
-	var group sync.WaitGroup
-	for i, host := range hosts {
-		group.Go(func() {
-			value, err := peer.Call[R](ctx, h.hub, host, method, args)
-			answers[i] = answer[R]{host, value, err}
-		})
-	}
-	group.Wait()
-	return answers
-}
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -88,6 +88,7 @@
 		s := smallSetup()
 		s.hosts, s.zones, s.replicas = 15, []string{"a", "b", "c", "d", "e"}, 3
 		sc := open(t, s)
+		time.Sleep(10 * time.Second) // until every host follows its preferred source
 		first, err := sc.accept(0, "first", 1)
 		is.NoErr(err)
 		sc.awaitVersion(first.Version, everyHost)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +33,7 @@
 	done   chan struct{}
 	began  time.Time
 	victim int // the host that was killed
+	closed chan struct{}
 }
 
 // setup is how a scene begins.
@@ -58,8 +57,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	sc := &scene{Fleet: f, t: t, net: network, done: make(chan struct{})}
+	sc := &scene{Fleet: f, t: t, net: network, done: make(chan struct{}), closed: make(chan struct{})}
+	go sc.watchGrants(s.groups)
 	t.Cleanup(func() {
+		close(sc.closed)
 		f.Stop()
 		time.Sleep(time.Second) // for tasks of the libraries to end
 	})
@@ -84,6 +85,36 @@
 	}
 }
 
+// watchGrants looks again and again whether a slot is granted to two upstreams at a time.
+func (sc *scene) watchGrants(groups []Group) {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-sc.closed:
+			return
+		case now := <-ticker.C:
+			sc.checkGrants(now, groups)
+		}
+	}
+}
+
+func (sc *scene) checkGrants(now time.Time, groups []Group) {
+	first := 0
+	for _, group := range groups {
+		owners := make(map[int]string)
+		for i := first; i < first+group.Count && group.Keyed; i++ {
+			for _, slot := range sc.Upstreams[i].Held(now) {
+				if other, ok := owners[slot]; ok {
+					sc.t.Errorf("slot %d of %s is granted to %s and %s", slot, group.Service, other, sc.IDs[i])
+				}
+				owners[slot] = sc.IDs[i]
+			}
+		}
+		first += group.Count
+	}
+}
+
 // load begins to send requests from callers in all zones.
 func (sc *scene) load(shape load.Shape, rate float64, period time.Duration) {
 	runner := load.New(load.Settings{
@@ -121,16 +152,6 @@
 	return sc.result
 }
 
-func dialOf(port *memnet.Port) func(ctx context.Context, _, address string) (net.Conn, error) {
-	return func(ctx context.Context, _, address string) (net.Conn, error) {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			return nil, err
-		}
-		return port.Dial(ctx, to)
-	}
-}
-
 // in runs a scene in a bubble of exact time.
 func in(t *testing.T, test func(t *testing.T)) {
 	synctest.Test(t, test)
--- a/internal/fleet/resend_test.go
+++ b/internal/fleet/resend_test.go
@@ -13,13 +13,14 @@
 	"github.com/matryer/is"
 
 	"lovagelink.example/lovagelink/examples"
+	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/upsim"
 	"lovagelink.example/lovagelink/pkg/verd"
 )
 
 // post lodges a booking and returns its verdict, or "" without an answer.
 func (sc *scene) post(entry netip.AddrPort, key, id string, attempt int, age time.Duration) string {
-	client := &http.Client{Transport: &http.Transport{DialContext: dialOf(sc.net.At("callers", "caller"))}}
+	client := &http.Client{Transport: &http.Transport{DialContext: peer.DialHTTP(sc.net.At("callers", "caller"))}}
 	defer client.CloseIdleConnections()
 	url := fmt.Sprintf("http://%s/plan/%s/bookings", entry, key)
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, strings.NewReader("x"))
@@ -39,7 +40,7 @@
 
 // send makes any request and returns its verdict and its answer.
 func (sc *scene) send(entry netip.AddrPort, method, path, id, body string) (verdict, text string) {
-	client := &http.Client{Transport: &http.Transport{DialContext: dialOf(sc.net.At("callers", "caller"))}}
+	client := &http.Client{Transport: &http.Transport{DialContext: peer.DialHTTP(sc.net.At("callers", "caller"))}}
 	defer client.CloseIdleConnections()
 	request, err := http.NewRequest(method, fmt.Sprintf("http://%s%s", entry, path), strings.NewReader(body))
 	if err != nil {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/upapi"
 	"lovagelink.example/lovagelink/internal/upsim"
@@ -57,17 +58,10 @@
 
 // New returns a runner.
 func New(settings Settings, network peer.Network) *Runner {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			return nil, err
-		}
-		return network.Dial(ctx, to)
-	}
 	return &Runner{
 		settings: settings,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: 1024, DisableCompression: true,
+			DialContext: peer.DialHTTP(network), MaxIdleConnsPerHost: 1024, DisableCompression: true,
 		}},
 		result: newResult(settings.Shape),
 	}
@@ -110,7 +104,7 @@
 			attempt++
 		}
 		f.resent++
-		sleep(ctx, resendPause*time.Duration(attempt))
+		pause.For(ctx, resendPause*time.Duration(attempt))
 	}
 	f.took = time.Since(due)
 	return f
@@ -163,12 +157,3 @@
 		f.crossed++
 	}
 }
-
-func sleep(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/naive/router.go
+++ b/internal/naive/router.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -42,16 +41,9 @@
 
 // New returns a router for a configuration.
 func New(config conf.Config, network peer.Network) *Router {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			return nil, err
-		}
-		return network.Dial(ctx, to)
-	}
 	return &Router{
 		config:    config,
-		client:    &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 100}},
+		client:    &http.Client{Transport: &http.Transport{DialContext: peer.DialHTTP(network), MaxIdleConnsPerHost: 100}},
 		upstreams: make(map[string]state.Announced),
 		heard:     make(map[string]time.Time),
 		limits:    make(map[string]chan struct{}),
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -36,6 +36,17 @@
 	return net.Listen("tcp", address.String())
 }
 
+// DialHTTP returns the dial function for an HTTP transport on a network.
+func DialHTTP(network Network) func(ctx context.Context, _, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		to, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return network.Dial(ctx, to)
+	}
+}
+
 // quietConn fails a read once the other end has been silent for too long. Something between the
 // ends may have lost track of the connection without either end being told.
 type quietConn struct {
--- a/internal/state/feed.go
+++ b/internal/state/feed.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 
 	"lovagelink.example/lovagelink/internal/event"
 )
@@ -41,7 +40,6 @@
 	base    uint64 // the index before the first kept entry
 	entries []Entry
 	changed chan struct{}
-	loaded  atomic.Bool
 }
 
 // NewFeed returns a feed with an empty state.
@@ -164,7 +162,6 @@
 func (f *Feed) Follow(batch Batch) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	defer f.loaded.Store(true)
 	if batch.Snapshot != nil {
 		return f.followSnapshot(batch.Snapshot)
 	}
@@ -189,8 +186,3 @@
 	}
 	return nil
 }
-
-// Loaded reports whether the feed has heard from another one since it started.
-func (f *Feed) Loaded() bool {
-	return f.loaded.Load()
-}
--- a/internal/upsim/fence.go
+++ b/internal/upsim/fence.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/upapi"
@@ -44,11 +46,12 @@
 	return ok && granted == epoch && dispatch == f.dispatch && clock < f.until
 }
 
-func (f *fence) holds(clock time.Duration) int {
+// held lists the slots of a grant that is in force.
+func (f *fence) held(clock time.Duration) []int {
 	if clock >= f.until {
-		return 0
+		return nil
 	}
-	return len(f.slots)
+	return slices.Collect(maps.Keys(f.slots))
 }
 
 // serveGrant answers a dispatcher's grant with the upstream's clock.
--- a/internal/upsim/upstream.go
+++ b/internal/upsim/upstream.go
@@ -91,15 +91,7 @@
 }
 
 func newClient(network peer.Network) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			to, err := netip.ParseAddrPort(address)
-			if err != nil {
-				return nil, err
-			}
-			return network.Dial(ctx, to)
-		},
-	}}
+	return &http.Client{Transport: &http.Transport{DialContext: peer.DialHTTP(network)}}
 }
 
 // Start opens the address and begins to announce the upstream.
@@ -165,11 +157,11 @@
 	u.faults = faults
 }
 
-// Holds returns how many slots the upstream owns at present.
-func (u *Upstream) Holds() int {
+// Held lists the slots that are granted to the upstream at present, by its own clock.
+func (u *Upstream) Held(now time.Time) []int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.fence.holds(u.clock(time.Now()))
+	return u.fence.held(u.clock(now))
 }
 
 func (u *Upstream) isFrozen() bool {
--- a/pkg/paxos/lead.go
+++ b/pkg/paxos/lead.go
@@ -18,7 +18,6 @@
 type leadership struct {
 	ballot    Ballot
 	opened    uint64 // index of the first entry of its own
-	since     time.Time
 	tomb      tomb.Tomb
 	proposals chan proposal
 	followers map[string]*follower // by identity
@@ -46,11 +45,10 @@
 	done   chan outcome
 }
 
-func newLeadership(now time.Time, ballot Ballot, opened uint64) *leadership {
+func newLeadership(ballot Ballot, opened uint64) *leadership {
 	return &leadership{
 		ballot:    ballot,
 		opened:    opened,
-		since:     now,
 		proposals: make(chan proposal, maxPending),
 		followers: make(map[string]*follower),
 	}
--- a/pkg/paxos/replica.go
+++ b/pkg/paxos/replica.go
@@ -60,7 +60,6 @@
 	Leader     string
 	Leading    bool
 	LeaseUntil time.Time // until when no other replica can lead, if this one does
-	LedSince   time.Time
 	Commit     uint64
 	Members    Members // the newest membership that is chosen: a repair counts only from then on
 	Ballot     Ballot
@@ -169,7 +168,6 @@
 	}
 	if r.lead != nil && r.commit >= r.lead.opened {
 		status.LeaseUntil = r.lead.leaseUntil(now, r.log.members(), r.store.id, r.timing.Lease)
-		status.LedSince = r.lead.since
 		status.Leading = now.Before(status.LeaseUntil)
 	}
 	return status
