Keep a slot in use while an overdue request may still run

Cause: an exclusive request whose answer is overdue gave back its place and, with it, its slot's count. A slot with such a request could be handed over while an upstream that checks nothing still ran it: two owners. Ruled out: keeping the place too, which starves an upstream of two slots behind one silent connection. Change: the place is freed early, the slot's count only when the request has ended. Before: the former leave took the slot's count to 0 with the request under way. Conclusion: places and slots are counted apart.

--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/pause"
@@ -140,9 +139,8 @@
 	if outcome, ok := d.await(ctx, s, r); !ok {
 		return outcome
 	}
-	var once sync.Once
-	leave := func() { once.Do(func() { d.leave(s) }) }
-	defer leave()
+	place := turn{d: d, s: s}
+	defer place.end()
 	if reason := d.obstacle(time.Now(), s); reason != "" {
 		return notRun(reason)
 	}
@@ -153,7 +151,7 @@
 	if err != nil {
 		return notRun(reasonWithdrawn)
 	}
-	vigil := d.watch(time.Now(), leave)
+	vigil := d.watch(time.Now(), place.free)
 	defer vigil.end()
 	outcome := d.sendStarted(ctx, s, r)
 	d.Witness.Finished(r, noted, outcome)
@@ -260,15 +258,6 @@
 	}
 }
 
-// leave ends a request that had its turn, and lets the next one start.
-func (d *Dispatcher) leave(s *share) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.running--
-	d.rest(s)
-	d.pump(time.Now())
-}
-
 // pump starts what may start.
 func (d *Dispatcher) pump(now time.Time) {
 	if now.Before(d.pace.hold) {
