Move slots of a keyless service only when no host can dispatch for their owner

Ruled out: a delay before slots move, which would cost a cut zone's slots the same delay. Change: an upstream is orphaned only when no host may dispatch for it; the naive scenes run at 400/s.

--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -233,7 +233,7 @@
 		table := s.Tables[name]
 		owners := ownersOf(table)
 		if service := s.Config.ServiceNamed(name); service != nil && service.Key == nil {
-			dropOrphans(s, owners)
+			l.dropOrphans(s, owners)
 		}
 		for _, move := range place.Fill(owners, l.loads.of(name, len(table.Slots)), l.candidates(now, s, name)) {
 			assigns = append(assigns, state.Assign{
@@ -244,10 +244,14 @@
 	return assigns
 }
 
-// dropOrphans takes slots from owners without a living dispatcher.
-func dropOrphans(s *state.State, owners []string) {
+// dropOrphans takes slots from owners that no host can dispatch for at present.
+func (l *Leader) dropOrphans(s *state.State, owners []string) {
+	orphans := make(map[string]bool)
+	for id, u := range s.Upstreams {
+		orphans[id] = !hasDispatcher(s, u) && l.pickHost(s, u, nil) == ""
+	}
 	for i, owner := range owners {
-		if u := s.Upstreams[owner]; u != nil && !hasDispatcher(s, u) {
+		if orphans[owner] {
 			owners[i] = ""
 		}
 	}
--- a/internal/fleet/naive_test.go
+++ b/internal/fleet/naive_test.go
@@ -50,7 +50,7 @@
 }
 
 // naiveRate leaves enough requests under way for a violation to be seen, in requests a second.
-const naiveRate = 200
+const naiveRate = 400
 
 // The scenes are able to show violations: the naive router breaks a promise in each of these.
 func TestNaiveBreaksPromises(t *testing.T) {
