Use one pause and one course of a failure where several stood

Cause: a last read found the pause written again in four places beside internal/pause, and the course of a failure in three tests. Ruled out: sharing the flag set-up of the subcommands, which are alike in shape alone. Change: entry, peer and upsim call pause.For; failure.befall serves TestFailures, TestKingston and the naive scenes. Periods, bounds and assertions are as they were. Conclusion: behaviour is unchanged.

--- a/internal/entry/doors.go
+++ b/internal/entry/doors.go
@@ -11,6 +11,7 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/state"
 )
 
@@ -49,18 +50,14 @@
 // is cut off from the leader serves from what it has after a while.
 func (h *Host) openCallers() error {
 	began := time.Now()
+	ctx := h.tomb.Context(context.Background())
 	for h.tomb.Alive() && !h.isLeaving() {
 		hasWaited := time.Since(began) > stateMaxWait && h.hasConfig()
 		if h.client.IsCurrent() || hasWaited {
-			h.restored.Store(h.restoreBook(h.tomb.Context(context.Background())))
+			h.restored.Store(h.restoreBook(ctx))
 			return h.open(h.settings.Callers, h)
 		}
-		timer := time.NewTimer(stateCheckPause)
-		select {
-		case <-timer.C:
-		case <-h.tomb.Dying():
-		}
-		timer.Stop()
+		pause.For(ctx, stateCheckPause)
 	}
 	return nil
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/state"
 )
 
@@ -18,7 +19,7 @@
 	close(h.leaving)
 	h.client.Nudge()
 	h.awaitNoRoles(ctx)
-	awaitPeriod(ctx, leavePeriod)
+	pause.For(ctx, leavePeriod)
 	h.handOverBook(ctx)
 	for _, server := range h.doors() {
 		_ = server.Shutdown(ctx)
@@ -51,15 +52,6 @@
 	}
 }
 
-func awaitPeriod(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // isLastHost reports whether no other host is left to take over.
 func (h *Host) isLastHost() bool {
 	others := 0
--- a/internal/fleet/balance_test.go
+++ b/internal/fleet/balance_test.go
@@ -53,22 +53,15 @@
 		if f.name != "leader-zone-lost" && f.name != "upstream-frozen" && f.name != "rolling-restart" {
 			continue
 		}
-		strike := f.strike
 		if f.name == "upstream-frozen" {
-			strike = func(sc *scene) { sc.Upstream("rounds-03").Freeze(true) }
+			f.strike = func(sc *scene) { sc.Upstream("rounds-03").Freeze(true) }
 			f.calm = func(sc *scene) { sc.Upstream("rounds-03").Freeze(false) }
 		}
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			in(t, func(t *testing.T) {
 				sc := open(t, setup{config: examples.Kingston, hosts: 10, groups: Kingston(), checks: true})
-				sc.load(load.Kingston(), steadyRate, 17*time.Second)
-				time.Sleep(3 * time.Second)
-				strike(sc)
-				time.Sleep(10 * time.Second)
-				if f.calm != nil {
-					f.calm(sc)
-				}
+				f.befall(sc, load.Kingston(), steadyRate, 17*time.Second)
 				f.check(t, sc.judge())
 			})
 		})
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -171,17 +171,22 @@
 	}
 }
 
-func runFailure(t *testing.T, f failure, checks bool) {
-	s := gautengSetup()
-	s.checks = checks
-	sc := open(t, s)
-	sc.load(load.Gauteng(), steadyRate, 17*time.Second)
+// befall loads a scene, strikes after 3 s and ends the failure 10 s later.
+func (f failure) befall(sc *scene, shape load.Shape, rate float64, period time.Duration) {
+	sc.load(shape, rate, period)
 	time.Sleep(3 * time.Second)
 	f.strike(sc)
 	time.Sleep(10 * time.Second)
 	if f.calm != nil {
 		f.calm(sc)
 	}
+}
+
+func runFailure(t *testing.T, f failure, checks bool) {
+	s := gautengSetup()
+	s.checks = checks
+	sc := open(t, s)
+	f.befall(sc, load.Gauteng(), steadyRate, 17*time.Second)
 	f.check(t, sc.judge())
 }
 
--- a/internal/fleet/naive_test.go
+++ b/internal/fleet/naive_test.go
@@ -71,13 +71,7 @@
 				s := gautengSetup()
 				s.checks = false
 				sc := openNaive(t, s)
-				sc.load(load.Gauteng(), naiveRate, 15*time.Second)
-				time.Sleep(3 * time.Second)
-				f.strike(sc)
-				time.Sleep(10 * time.Second)
-				if f.calm != nil {
-					f.calm(sc)
-				}
+				f.befall(sc, load.Gauteng(), naiveRate, 15*time.Second)
 				<-sc.done
 				verdict := sc.result.Judge(sc.Ledger.Runs())
 				t.Logf("%+v", verdict)
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -11,6 +11,8 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 	"gopkg.in/tomb.v2"
+
+	"lovagelink.example/lovagelink/internal/pause"
 )
 
 // Periods of a link.
@@ -248,12 +250,7 @@
 			return nil
 		}
 		h.keepOnce(l)
-		timer := time.NewTimer(redialPause)
-		select {
-		case <-timer.C:
-		case <-h.tomb.Dying():
-		}
-		timer.Stop()
+		pause.For(h.tomb.Context(context.Background()), redialPause)
 	}
 	return nil
 }
--- a/internal/upsim/upstream.go
+++ b/internal/upsim/upstream.go
@@ -18,6 +18,7 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/internal/upapi"
@@ -207,12 +208,7 @@
 		} else if len(u.settings.Entries) > 0 && u.announce(u.settings.Entries[turn%len(u.settings.Entries)]) != nil {
 			turn++
 		}
-		timer := time.NewTimer(announcePeriod)
-		select {
-		case <-timer.C:
-		case <-u.tomb.Dying():
-		}
-		timer.Stop()
+		pause.For(u.tomb.Context(context.Background()), announcePeriod)
 	}
 	return nil
 }
