Ask after a lost attempt of one's own before a zone on its own runs a request

Cause: a request without a key that another zone had started when the zone was cut off was tried again by the same entry host at an upstream of its own zone. Only the caller's age of a request, which is 0 for one that the caller has sent once, made the dispatcher look for earlier attempts; that an attempt of the entry host was lost did not. Beside it, an attempt by way of another host whose link broke was not counted as started. Seen: one doubled request in TestFailures/zone-cut/checking-upstreams on a busy machine. Ruled out: the history of slots (the zone's own slot has no former dispatcher); age of resends by the caller, which were traced already. Change: the dispatcher looks for earlier attempts of every repeat; the entry host notes every lost attempt of an exclusive request as started in one place. A scene sends 500 confirmations a second through the cut, and judging a scene lists where a doubled request has run.

--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -58,7 +58,7 @@
 
 // runOnce joins an earlier request with the same id, or is the first.
 func (d *Dispatcher) runOnce(ctx context.Context, s *share, r Request) Outcome {
-	if d.stays && r.Age > 0 && !d.trace(ctx, r) {
+	if d.stays && r.isRepeat() && !d.trace(ctx, r) {
 		return unknown("a zone that is cut off may have run an earlier attempt")
 	}
 	for {
--- a/internal/disp/wire.go
+++ b/internal/disp/wire.go
@@ -31,6 +31,12 @@
 	Age        time.Duration `json:"age"`     // since the caller sent the request for the first time
 }
 
+// isRepeat reports whether an earlier attempt of the request may have run: one that the caller has
+// sent before, or one of this entry host whose outcome was lost.
+func (r Request) isRepeat() bool {
+	return r.Started || r.Age > 0
+}
+
 // Outcome is what became of a request.
 type Outcome struct {
 	Verdict    verd.Verdict  `json:"verdict"`
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -38,8 +38,11 @@
 		if !outcome.Retry || !h.mayRetry(outcome) {
 			return final(outcome, mayHaveRun)
 		}
-		mayHaveRun = mayHaveRun || outcome.Verdict == verd.MayHaveRun
-		p.Patient = p.Patient || outcome.Verdict == verd.MayHaveRun
+		if outcome.Verdict == verd.MayHaveRun {
+			mayHaveRun = true
+			p.Patient = true
+			p.Started = !p.Idempotent
+		}
 		if !awaitRetry(ctx, changed, pause) {
 			return h.giveUp(p, outcome, mayHaveRun)
 		}
@@ -137,7 +140,6 @@
 	r.Left = time.Until(p.deadline) - replyMargin
 	outcome, err := peer.Call[disp.Outcome](ctx, h.hub, via, "detour", r)
 	if err != nil {
-		p.Started = !p.Idempotent
 		return disp.Outcome{
 			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
 			Reason: "the link to the host in between was lost",
@@ -196,7 +198,6 @@
 			Reason: "the link to the dispatcher was lost",
 		}
 	case started:
-		p.Started = true
 		return disp.Outcome{
 			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
 			Reason: "the link to the dispatcher was lost after the request was sent",
--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -190,6 +190,37 @@
 	f.check(t, sc.judge())
 }
 
+// A zone is cut off while exclusive requests without a key are under way, some of them by way of another
+// host: the zone that goes on alone must not run again what another zone has started.
+func TestZoneCutAmidConfirmations(t *testing.T) {
+	for _, first := range []string{"", "b1", "b2"} {
+		t.Run("first-cut-"+first, func(t *testing.T) {
+			t.Parallel()
+			in(t, func(t *testing.T) {
+				sc := open(t, gautengSetup())
+				shape := load.Gauteng()
+				shape.Calls = shape.Calls[:1]
+				sc.load(shape, 500, 8*time.Second)
+				time.Sleep(2 * time.Second)
+				sc.net.Cut(hostCut(first, "b"))
+				time.Sleep(time.Second)
+				sc.net.Cut(isolated("b"))
+				time.Sleep(3 * time.Second)
+				sc.net.Heal()
+				sc.judge()
+			})
+		})
+	}
+}
+
+// hostCut cuts one host off from the other zones.
+func hostCut(host, zone string) func(from, to memnet.Place) bool {
+	beyond := isolated(zone)
+	return func(from, to memnet.Place) bool {
+		return (from.Owner == host || to.Owner == host) && beyond(from, to)
+	}
+}
+
 // check holds a result against the target.
 func (f failure) check(t *testing.T, result *load.Result) {
 	t.Helper()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"lovagelink.example/lovagelink/internal/load"
 	"lovagelink.example/lovagelink/internal/memnet"
 	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/upsim"
 )
 
 // zoneDelay is the one-way delay between zones, and of a caller to a zone.
@@ -148,10 +149,23 @@
 	}
 	if !verdict.OK() {
 		sc.t.Errorf("promises broken: %+v", verdict)
+		sc.logDoubled()
 	}
 	return sc.result
 }
 
+// logDoubled lists where and when exclusive requests have run that ran more than once.
+func (sc *scene) logDoubled() {
+	runs := sc.Ledger.Runs()
+	byID := upsim.Examine(runs).ByID
+	for _, run := range runs {
+		if run.Exclusive && byID[run.ID] > 1 {
+			sc.t.Logf("%s of %s key %q ran on %s under epoch %d from %v to %v", run.ID, run.Service, run.Key,
+				run.Upstream, run.Epoch, run.Began.Sub(sc.began), run.Ended.Sub(sc.began))
+		}
+	}
+}
+
 // in runs a scene in a bubble of exact time.
 func in(t *testing.T, test func(t *testing.T)) {
 	synctest.Test(t, test)
