Keep a text that is no YAML from ending every host

Cause: the YAML library panics on some texts, such as a stray tag ("!es") in place of a list. A configuration is read when its log entry is applied, so an operator's slip would have ended every host, and again at each start. Found by a fuzz target for configurations, in its first 13 s. Ruled out: reading only at the host that takes the order; a host that follows would still read what is accepted.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -56,3 +56,30 @@
 	host.Zone = "b"
 	is.True(strings.Contains(host.Check().Error(), "zone"))
 }
+
+// A configuration that is accepted holds what all others rely on; any other text is an error.
+func FuzzParseConfig(f *testing.F) {
+	for _, name := range []string{"gauteng", "kingston"} {
+		data, err := os.ReadFile("../../examples/" + name + ".yaml")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		config, err := ParseConfig(data)
+		if err != nil {
+			return
+		}
+		for _, service := range config.Services {
+			if service.Slots < 1 || service.BodyLimit < 1 || config.Route(service.Route) == nil {
+				t.Errorf("service %+v was accepted", service)
+			}
+			for _, rule := range service.Rules {
+				if config.RankOf(rule.Rank) >= len(config.Ranks) || rule.Deadline <= 0 {
+					t.Errorf("rule %+v was accepted", rule)
+				}
+			}
+		}
+	})
+}
--- a/internal/conf/yaml.go
+++ b/internal/conf/yaml.go
@@ -3,16 +3,23 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 )
 
-// decode reads YAML strictly: an unknown field is an error that shows its line.
-func decode(data []byte, into any) error {
+// decode reads YAML strictly: an unknown field is an error that shows its line. The YAML library panics
+// on some texts that are no YAML; such a text must not end the process of every host that reads it.
+func decode(data []byte, into any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("the file can't be read as YAML (%v); look for stray tags, anchors and brackets", cause)
+		}
+	}()
 	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.Validator(validator.New()))
-	err := decoder.Decode(into)
+	err = decoder.Decode(into)
 	if errors.Is(err, io.EOF) {
 		return errors.New("the file is empty")
 	}
