Try another upstream in a cut zone when one has not run a request

Cause: while a zone is alone nobody takes a lost upstream out of the state, and each entry host went on choosing it by the request's id: what fell to it waited for the end of the cut. Ruled out: an authority of the zone's own that gives up upstreams. It would need a log in each zone, and for work without keys any upstream serves; slots of a service with keys still wait for the end of the cut. Change: an entry host notes which upstreams have truly not run a request, and chooses them last.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -94,7 +94,7 @@
 	upstream, host := h.lookup(p.Service, p.Slot)
 	isLocal := h.goesLocal(time.Now(), p)
 	if isLocal {
-		upstream, host = h.lookupLocal(p.Service, p.ID)
+		upstream, host = h.lookupLocal(time.Now(), p)
 	}
 	if host == "" {
 		return disp.Outcome{
@@ -114,7 +114,7 @@
 	if host == h.settings.Name {
 		outcome := h.disps.Run(ctx, r)
 		h.attempts.withdraw(r.Token)
-		p.clear(r.Token, outcome)
+		p.clear(r, outcome)
 		return outcome
 	}
 	if h.hub.CanReach(time.Now(), host) && h.hop.canReach(time.Now(), host) {
@@ -185,7 +185,7 @@
 	outcome, err := h.hop.run(ctx, host, r)
 	started := h.attempts.withdraw(r.Token)
 	if err == nil {
-		p.clear(r.Token, outcome)
+		p.clear(r, outcome)
 		if started {
 			h.noteOutcome(r, outcome)
 		}
@@ -216,10 +216,13 @@
 }
 
 // clear notes that an attempt has not run, so that a later dispatcher does not take it for one that
-// may have run.
-func (p *parsed) clear(token string, outcome disp.Outcome) {
+// may have run, and which upstream has not run it.
+func (p *parsed) clear(r disp.Request, outcome disp.Outcome) {
 	if outcome.Verdict == verd.NotRun && !p.Idempotent {
-		p.Cleared = append(p.Cleared, token)
+		p.Cleared = append(p.Cleared, r.Token)
+	}
+	if outcome.Verdict == verd.NotRun && !slices.Contains(p.refusedBy, r.Upstream) {
+		p.refusedBy = append(p.refusedBy, r.Upstream)
 	}
 }
 
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -44,6 +44,8 @@
 	isDetour bool      // another entry host has sent it here
 	sentAt   time.Time // when the caller sent the request for the first time
 	deadline time.Time
+
+	refusedBy []string // upstreams that have not run an attempt
 }
 
 // ServeHTTP answers a caller.
--- a/internal/entry/zone.go
+++ b/internal/entry/zone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,18 +117,26 @@
 }
 
 // lookupLocal returns an upstream of the own zone for a service without keys that stays, and the
-// host of the zone that dispatches for it.
-func (h *Host) lookupLocal(service, id string) (upstream, host string) {
+// host of the zone that dispatches for it. While the zone is alone nobody takes a lost upstream out of
+// the state, so one that has not run this request already comes last.
+func (h *Host) lookupLocal(now time.Time, p *parsed) (upstream, host string) {
 	h.feed.Read(func(s *state.State) {
-		var ids []string
+		var fresh, tried []string
 		for _, u := range s.Upstreams {
 			isNear := u.Zone == h.settings.Zone && h.zones[u.Host] == h.settings.Zone
-			isUsable := u.Host == h.settings.Name || h.hub.CanReach(time.Now(), u.Host)
-			if u.Service == service && u.Phase == state.Serving && isNear && isUsable {
-				ids = append(ids, u.ID)
+			isUsable := u.Host == h.settings.Name || h.hub.CanReach(now, u.Host)
+			switch {
+			case u.Service != p.Service || u.Phase != state.Serving || !isNear || !isUsable:
+			case slices.Contains(p.refusedBy, u.ID):
+				tried = append(tried, u.ID)
+			default:
+				fresh = append(fresh, u.ID)
 			}
 		}
-		if upstream = place.Best(id, ids); upstream != "" {
+		if len(fresh) == 0 {
+			fresh = tried
+		}
+		if upstream = place.Best(p.ID, fresh); upstream != "" {
 			host = s.Upstreams[upstream].Host
 		}
 	})
--- a/internal/fleet/whencut_test.go
+++ b/internal/fleet/whencut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -34,3 +35,38 @@
 		}
 	}
 }
+
+// A zone that is cut off loses one of its two upstreams without keys: the other one serves all that the
+// zone's callers send for the first time.
+func TestUpstreamLostInCutZone(t *testing.T) {
+	lost := map[string]string{"a": "commission-01", "b": "commission-02"}
+	for zone, upstream := range lost {
+		t.Run("zone-"+zone, func(t *testing.T) {
+			t.Parallel()
+			in(t, func(t *testing.T) {
+				sc := open(t, gautengSetup())
+				sc.net.Cut(isolated(zone))
+				time.Sleep(3 * time.Second)
+				sc.Upstream(upstream).Kill()
+				shape := load.Gauteng()
+				shape.Calls = shape.Calls[:1]
+				sc.loadAt(sc.entriesOf(zone), shape, 40, 5*time.Second)
+				result := sc.judge()
+				if tally := result.Tallies[0]; tally.Served != tally.Sent {
+					t.Errorf("%d of %d served", tally.Served, tally.Sent)
+				}
+			})
+		})
+	}
+}
+
+// entriesOf lists the callers' addresses in a zone.
+func (sc *scene) entriesOf(zone string) []netip.AddrPort {
+	var entries []netip.AddrPort
+	for i, settings := range sc.Settings {
+		if sc.zoneOf(i) == zone {
+			entries = append(entries, settings.Callers)
+		}
+	}
+	return entries
+}
