Prove more of the log, the decoders and a frozen leader

BenchmarkHotRows compares planned slots with and without rows for the hottest 25 keys. Conclusion: no rows for hot keys are built; what is hot moves as a slot.

--- a/cmd/lovagelink/process_test.go
+++ b/cmd/lovagelink/process_test.go
@@ -128,6 +128,30 @@
 	s.t.Fatal("the system does not serve")
 }
 
+// leader asks a host which one leads.
+func (s *system) leader(i int) string {
+	s.t.Helper()
+	response, err := http.Get("http://" + address(hostPort(i, 2)) + "/status")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var status struct {
+		Leader string `json:"leader"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil || s.running[status.Leader] == nil {
+		s.t.Fatalf("no leader is known: %v", err)
+	}
+	return status.Leader
+}
+
+// freeze stops a process for a while and lets it go on as if nothing had happened.
+func (s *system) freeze(name string, period time.Duration) {
+	s.signal(name, syscall.SIGSTOP)
+	time.Sleep(period)
+	s.signal(name, syscall.SIGCONT)
+}
+
 func (s *system) ledgers(count int) []upsim.Run {
 	var runs []upsim.Run
 	for i := range count {
@@ -145,8 +169,8 @@
 	return runs
 }
 
-// Real processes: an upstream is frozen and comes back, then a dispatcher's host; the leader's host is
-// killed and comes back with an empty disk, and another replica is killed right after the repair.
+// Real processes: an upstream is frozen and comes back, then a dispatcher's host, then the leader's; a
+// replica's host is killed and comes back with an empty disk, and another replica is killed right after the repair.
 func TestProcessesKeepPromises(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -184,17 +208,15 @@
 		entries = append(entries, netip.MustParseAddrPort(address(hostPort(i, 0))))
 	}
 	runner := load.New(load.Settings{
-		Shape: load.Gauteng(), Rate: testRate, Period: 19 * time.Second, Entries: entries, Seed: 1,
+		Shape: load.Gauteng(), Rate: testRate, Period: 24 * time.Second, Entries: entries, Seed: 1,
 	}, peer.TCP{})
 	done := make(chan *load.Result)
 	go func() { done <- runner.Run(context.Background()) }()
 	time.Sleep(time.Second)
-	s.signal("upstream-0", syscall.SIGSTOP)
-	time.Sleep(3 * time.Second)
-	s.signal("upstream-0", syscall.SIGCONT)
-	s.signal("c1", syscall.SIGSTOP)
-	time.Sleep(3 * time.Second)
-	s.signal("c1", syscall.SIGCONT)
+	s.freeze("upstream-0", 3*time.Second)
+	s.freeze("c1", 3*time.Second)
+	time.Sleep(2 * time.Second)
+	s.freeze(s.leader(5), 3*time.Second)
 	time.Sleep(2 * time.Second)
 	s.kill("a1")
 	is.NoErr(os.RemoveAll(filepath.Join(s.folder, "run", "data-a1")))
--- a/pkg/paxos/paxos_test.go
+++ b/pkg/paxos/paxos_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -421,13 +422,16 @@
 	})
 }
 
+// seeds is how many interleavings TestRandomFailures runs.
+var seeds = flag.Int("seeds", 300, "interleavings of random failures to run")
+
 // Random losses, cuts and wiped disks never break the agreement of the copies.
 func TestRandomFailures(t *testing.T) {
-	seeds := 300
+	count := *seeds
 	if testing.Short() {
-		seeds = 30
+		count = min(count, 30)
 	}
-	for seed := range seeds {
+	for seed := range count {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { runRandom(t, uint64(seed)) })
 		})
--- a/pkg/paxos/store_test.go
+++ b/pkg/paxos/store_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"lovagelink.example/lovagelink/pkg/walog"
 )
 
 // A folder keeps its identity, and one of another host is refused.
@@ -21,3 +23,23 @@
 	_, _, err = openStore("b", folder)
 	is.True(errors.Is(err, ErrForeignFolder))
 }
+
+// Whatever records and snapshot a disk holds, they are refused or read, and what is read is written alike.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"index":3,"members":[{"name":"a"}]}`), []byte(`{"promise":{"round":3,"name":"a"}}`))
+	f.Add([]byte(nil), []byte(`{"entry":{"index":18446744073709551615}}`))
+	f.Fuzz(func(t *testing.T, snapshot, one []byte) {
+		found, err := parse(walog.Content{Snapshot: snapshot, Records: [][]byte{one}})
+		if err != nil {
+			return
+		}
+		records, err := encodeRecords(&found.promised, found.entries)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := parse(walog.Content{Records: records})
+		if err != nil || again.promised != found.promised || len(again.entries) != len(found.entries) {
+			t.Fatalf("%+v became %+v, %v", found, again, err)
+		}
+	})
+}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -164,6 +165,65 @@
 	})
 }
 
+// BenchmarkHotRows compares planned slots with planned slots of which the hottest 25 keys are taken out and
+// placed one by one. The least that any placement can reach is the load of the hottest key over the mean.
+func BenchmarkHotRows(b *testing.B) {
+	sizes := []struct {
+		slots, owners, keys int
+	}{{256, 25, 2000}, {1024, 25, 100_000}, {65_536, 1000, 1_000_000}}
+	for _, size := range sizes {
+		byKey := zipfLoads(size.keys)
+		for _, rows := range []int{0, 25} {
+			b.Run(fmt.Sprintf("slots-%d/rows-%d", size.slots, rows), func(b *testing.B) {
+				loads := rowLoads(byKey, size.slots, rows)
+				candidates := names(size.owners)
+				owners := make([]string, len(loads))
+				for b.Loop() {
+					owners = make([]string, len(loads))
+					for _, move := range place.Fill(owners, loads, candidates) {
+						owners[move.Slot] = move.To
+					}
+				}
+				_, high := carried(owners, loads, candidates)
+				mean := sumOf(byKey) / float64(size.owners)
+				b.ReportMetric(high/mean, "max/mean-load")
+				b.ReportMetric(byKey[0]/mean, "least-possible")
+			})
+		}
+	}
+}
+
+// zipfLoads is the load of each key under Zipf's law, the hottest first.
+func zipfLoads(keys int) []float64 {
+	const exponent, offset = 1.1, 4
+	loads := make([]float64, keys)
+	for i := range loads {
+		loads[i] = math.Pow(offset+float64(i), -exponent)
+	}
+	return loads
+}
+
+// rowLoads is the load of each slot, and behind them of each key that has a row of its own.
+func rowLoads(byKey []float64, slots, rows int) []float64 {
+	loads := make([]float64, slots+rows)
+	for key, load := range byKey {
+		if key < rows {
+			loads[slots+key] = load
+			continue
+		}
+		loads[place.Slot(fmt.Sprint("key-", key), slots)] += load
+	}
+	return loads
+}
+
+func sumOf(loads []float64) float64 {
+	sum := 0.0
+	for _, load := range loads {
+		sum += load
+	}
+	return sum
+}
+
 func Example() {
 	fmt.Println(place.Slot("wall-7", 256) == place.Slot("wall-7", 256))
 	fmt.Println(len(place.Rank("wall-7", []string{"a", "b", "c"})))
