Close a link that takes no call

Cause: with all connections silent and a host lost 0.5 s later, keys were not served for 5.13 s through that host once it was back: the others still held the old link to it. A call on it failed at once, so none waited when the link's ticker came, no ping was sent, and the link stayed in use. Ruled out: the caller's wait of 5 s (it only set the figure); the grants. Change: a call that fails without an answer closes its connection, and the link is dialled anew. The pair runs with all other tests.

--- a/internal/fleet/pairs_test.go
+++ b/internal/fleet/pairs_test.go
@@ -23,6 +23,7 @@
 	{"zone-cut", "dispatcher-lost"},
 	{"zone-cut", "upstream-frozen"},
 	{"connections-silent", "leader-lost"},
+	{"connections-silent", "dispatcher-lost"},
 	{"leader-zone-lost", "dispatcher-lost"},
 	{"rolling-restart", "upstream-frozen"},
 }
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -123,11 +123,16 @@
 	}
 	l.begin(time.Now())
 	err := l.call(ctx, method, envelope{From: h.name, Body: params}, &answer)
-	var refusal *jsonrpc2.Error
-	l.end(time.Now(), err == nil || errors.As(err, &refusal))
+	l.end(time.Now(), err == nil || isRefusal(err))
 	return answer, err
 }
 
+// isRefusal reports whether an error is an answer of the other end.
+func isRefusal(err error) bool {
+	var refusal *jsonrpc2.Error
+	return errors.As(err, &refusal)
+}
+
 func callSelf[R any](ctx context.Context, h *Hub, method string, params any) (R, error) {
 	var answer R
 	data, err := json.Marshal(params)
@@ -173,13 +178,18 @@
 	return l != nil && !l.hasFailed(now)
 }
 
-// call sends a call over the link.
+// call sends a call over the link. A connection that takes no call is closed, since nothing need come
+// in on it that would show that it has broken.
 func (l *link) call(ctx context.Context, method string, params, answer any) error {
 	conn, err := l.await(ctx)
 	if err != nil {
 		return err
 	}
-	return conn.Call(ctx, method, params, answer)
+	err = conn.Call(ctx, method, params, answer)
+	if err != nil && ctx.Err() == nil && !isRefusal(err) {
+		_ = conn.Close()
+	}
+	return err
 }
 
 // envelope names the caller beside the parameters.
