--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -107,6 +107,15 @@
 	one.settle(outcome)
 }
 
+// drop answers those who wait for a record that stands for nothing started here, and forgets it.
+func (b *Book) drop(one *record, outcome Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	one.running = false
+	delete(b.records, noteKey{one.note.Service, one.note.ID})
+	one.settle(outcome)
+}
+
 func (one *record) settle(outcome Outcome) {
 	if one.settled {
 		return
--- a/internal/disp/role.go
+++ b/internal/disp/role.go
@@ -1,6 +1,7 @@
 package disp
 
 import (
+	"sync/atomic"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/state"
@@ -29,10 +30,10 @@
 	ready  chan struct{} // closes once earlier requests of the slot are known
 	gone   chan struct{} // closes when the slot is to be handed over or has been taken away
 	moving bool
-	active int       // requests that were sent and are not answered
-	count  int       // requests since the last report
-	since  time.Time // when this host took the slot over
-	gap    bool      // what earlier requests became of is not wholly known
+	active int         // requests that were sent and are not answered
+	count  int         // requests since the last report
+	since  time.Time   // when this host took the slot over
+	gap    atomic.Bool // what earlier requests became of is not wholly known
 }
 
 func newShare(now time.Time, number int, epoch uint64) *share {
@@ -47,6 +48,11 @@
 	}
 }
 
+// mayHide reports whether an earlier attempt of a request may be one that nobody has told of.
+func (s *share) mayHide(now time.Time, r Request) bool {
+	return s.gap.Load() && (r.Started || r.Age > now.Sub(s.since))
+}
+
 func (s *share) isReady() bool {
 	select {
 	case <-s.ready:
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -63,8 +63,13 @@
 	}
 	for {
 		one, isFirst := d.Book.begin(time.Now(), r)
+		if isFirst && s.mayHide(time.Now(), r) {
+			outcome := unknown("the hosts that knew of earlier attempts are lost")
+			d.Book.drop(one, outcome)
+			return outcome
+		}
 		if isFirst {
-			outcome := d.first(ctx, s, r)
+			outcome := d.attempt(ctx, s, r)
 			d.Book.finish(one, outcome)
 			return outcome
 		}
@@ -127,13 +132,6 @@
 	}
 }
 
-func (d *Dispatcher) first(ctx context.Context, s *share, r Request) Outcome {
-	if s.gap && (r.Started || r.Age > time.Since(s.since)) {
-		return unknown("the hosts that knew of earlier attempts are lost")
-	}
-	return d.attempt(ctx, s, r)
-}
-
 // attempt waits for its turn and sends the request.
 func (d *Dispatcher) attempt(ctx context.Context, s *share, r Request) Outcome {
 	if outcome, ok := d.await(ctx, s, r); !ok {
--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -6,6 +6,7 @@
 
 	"lovagelink.example/lovagelink/internal/disp"
 	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/state"
 )
 
 // Collect asks all hosts that are up what they know of earlier requests of some slots.
@@ -29,24 +30,31 @@
 	return history
 }
 
-// isYoung reports whether this host may have known of requests before it was restarted that it does
-// not know of now.
+// isYoung reports whether this host may have known of requests in an earlier life that it does not know
+// of now.
 func (h *Host) isYoung(now time.Time) bool {
-	return !h.restored.Load() && now.Sub(h.began) < disp.KeepOutcomes
+	if h.restored.Load() || now.Sub(h.began) >= disp.KeepOutcomes {
+		return false
+	}
+	isFirstLife := false
+	h.feed.Read(func(s *state.State) {
+		isFirstLife = s.IsFirstLife(state.Holder{Host: h.settings.Name, Incarnation: h.incarnation})
+	})
+	return !isFirstLife
 }
 
 // restoreBook asks the other hosts for all that they know of exclusive requests, so that each one is
-// known to two hosts again. It reports whether all of them have answered.
+// known to two hosts again. It reports whether all of them have answered and lost nothing themselves:
+// what only this host and another one knew is gone if both were lost.
 func (h *Host) restoreBook(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	isWhole := true
-	for _, answer := range askAll[[]disp.Note](ctx, h, "book", struct{}{}) {
-		if answer.err != nil {
+	for _, answer := range askAll[historyReply](ctx, h, "book", struct{}{}) {
+		if answer.err != nil || answer.value.Young {
 			isWhole = false
-			continue
 		}
-		h.book.Import(time.Now(), answer.value)
+		h.book.Import(time.Now(), answer.value.Notes)
 	}
 	return isWhole
 }
@@ -65,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	for _, answer := range askAll[traceReply](ctx, h, "trace", traceArgs{Service: p.Service, ID: p.ID}) {
-		if answer.err != nil || answer.value.Known {
+		if answer.err != nil || answer.value.Known || answer.value.Young {
 			return true
 		}
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -42,29 +42,30 @@
 
 // Host is one entry host.
 type Host struct {
-	settings  conf.Host
-	network   peer.Network
-	logger    log.Logger
-	zones     map[string]string
-	line      *event.Line
-	hub       *peer.Hub
-	feed      *state.Feed
-	leader    *ctrl.Leader // nil without a replica
-	client    *ctrl.Client
-	zoneLease *zoneLease
-	book      *disp.Book
-	disps     *disp.Set
-	attempts  *attempts
-	hop       *hop
-	hopsIn    atomic.Int64 // requests of other hosts under way here
-	retries   *budget
-	heard     *heard
-	stats     Stats
-	dispatch  disp.Stats
-	tomb      tomb.Tomb
-	leaving   chan struct{}
-	began     time.Time
-	restored  atomic.Bool // the book holds all that other hosts knew
+	settings    conf.Host
+	network     peer.Network
+	logger      log.Logger
+	zones       map[string]string
+	line        *event.Line
+	hub         *peer.Hub
+	feed        *state.Feed
+	leader      *ctrl.Leader // nil without a replica
+	client      *ctrl.Client
+	zoneLease   *zoneLease
+	book        *disp.Book
+	disps       *disp.Set
+	attempts    *attempts
+	hop         *hop
+	hopsIn      atomic.Int64 // requests of other hosts under way here
+	retries     *budget
+	heard       *heard
+	stats       Stats
+	dispatch    disp.Stats
+	tomb        tomb.Tomb
+	leaving     chan struct{}
+	began       time.Time
+	incarnation string      // of this life of the host
+	restored    atomic.Bool // the book holds all that other hosts knew
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -76,17 +77,18 @@
 		return nil, trace.BadParameter("%v", err)
 	}
 	h := &Host{
-		settings: settings,
-		network:  network,
-		logger:   log.With(logger, "host", settings.Name),
-		zones:    make(map[string]string),
-		feed:     state.NewFeed(),
-		book:     disp.NewBook(),
-		attempts: newAttempts(),
-		retries:  newBudget(),
-		heard:    newHeard(),
-		leaving:  make(chan struct{}),
-		began:    now,
+		settings:    settings,
+		network:     network,
+		logger:      log.With(logger, "host", settings.Name),
+		zones:       make(map[string]string),
+		feed:        state.NewFeed(),
+		book:        disp.NewBook(),
+		attempts:    newAttempts(),
+		retries:     newBudget(),
+		heard:       newHeard(),
+		leaving:     make(chan struct{}),
+		began:       now,
+		incarnation: newToken(),
 	}
 	addresses := make(map[string]netip.AddrPort)
 	forwards := make(map[string]netip.AddrPort)
@@ -103,9 +105,8 @@
 	clock := &event.Clock{}
 	h.line = event.NewLine(settings.Name, clock)
 	h.zoneLease = &zoneLease{host: h}
-	incarnation := newToken()
-	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), h.sources(), &reporter{h, incarnation}, clock)
-	h.disps = disp.NewSet(h.feed, incarnation, disp.Deps{
+	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), h.sources(), &reporter{h, h.incarnation}, clock)
+	h.disps = disp.NewSet(h.feed, h.incarnation, disp.Deps{
 		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Witness: witness{h}, Historian: h,
 		Control: h, Book: h.book, Stats: &h.dispatch,
 	})
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -122,8 +122,8 @@
 		notes := h.book.Export(args.Service, args.Slots)
 		return historyReply{Notes: notes, Young: h.isYoung(time.Now())}, nil
 	})
-	peer.On(h.hub, "book", func(context.Context, string, struct{}) ([]disp.Note, error) {
-		return h.book.ExportAll(), nil
+	peer.On(h.hub, "book", func(context.Context, string, struct{}) (historyReply, error) {
+		return historyReply{Notes: h.book.ExportAll(), Young: h.isYoung(time.Now())}, nil
 	})
 	peer.On(h.hub, "inherit", func(_ context.Context, _ string, notes []disp.Note) (bool, error) {
 		h.book.Import(time.Now(), notes)
--- a/internal/fleet/resend_test.go
+++ b/internal/fleet/resend_test.go
@@ -73,28 +73,58 @@
 }
 
 // A resend must not run while the hosts that knew of the first attempt are lost, however long it has
-// waited for a new dispatcher.
+// waited for a new dispatcher, nor after they are back with nothing that they knew.
 func TestResendAfterZoneLoss(t *testing.T) {
-	in(t, func(t *testing.T) {
-		is := is.New(t)
-		sc := open(t, setup{config: examples.Gauteng, hosts: 6, checks: false, groups: []Group{
-			{Service: "plan", Count: 3, Slots: 2, Keyed: true, Work: 300 * time.Millisecond},
-			{Service: "commission", Count: 3, Slots: 2, Work: 300 * time.Millisecond},
-		}})
-		time.Sleep(5 * time.Second)
-		key, host := sc.keyAt(func(i int) bool { return sc.zoneOf(i) == "c" })
-		go sc.post(sc.Settings[host].Callers, key, "r1", 1, 0)
-		time.Sleep(100 * time.Millisecond)
-		for i := range sc.Hosts {
-			if sc.zoneOf(i) == "c" {
-				sc.Hosts[i].Kill()
-			}
+	for _, course := range []resendCourse{
+		{name: "hosts-lost"},
+		{name: "hosts-back", areBack: true},
+		{name: "hosts-back-upstreams-lost", areBack: true, areUpstreamsLost: true},
+	} {
+		t.Run(course.name, func(t *testing.T) {
+			in(t, func(t *testing.T) { runResendAfterZoneLoss(t, course) })
+		})
+	}
+}
+
+// resendCourse is what happens between a first attempt and its resend.
+type resendCourse struct {
+	name             string
+	areBack          bool // the hosts that knew of it have been restarted
+	areUpstreamsLost bool // no upstream can serve the resend
+}
+
+func runResendAfterZoneLoss(t *testing.T, course resendCourse) {
+	is := is.New(t)
+	sc := open(t, setup{config: examples.Gauteng, hosts: 6, checks: false, groups: []Group{
+		{Service: "plan", Count: 3, Slots: 2, Keyed: true, Work: 300 * time.Millisecond},
+		{Service: "commission", Count: 3, Slots: 2, Work: 300 * time.Millisecond},
+	}})
+	time.Sleep(5 * time.Second)
+	key, host := sc.keyAt(func(i int) bool { return sc.zoneOf(i) == "c" })
+	go sc.post(sc.Settings[host].Callers, key, "r1", 1, 0)
+	time.Sleep(100 * time.Millisecond)
+	for i := range sc.Hosts {
+		if sc.zoneOf(i) == "c" {
+			sc.kill(i)
+		}
+	}
+	age := 100 * time.Millisecond
+	if course.areBack {
+		time.Sleep(2 * time.Second)
+		sc.restartVictims()
+		time.Sleep(18 * time.Second)
+		age += 20 * time.Second
+	}
+	if course.areUpstreamsLost {
+		for _, upstream := range sc.Upstreams {
+			upstream.Kill()
 		}
-		verdict := sc.post(sc.Settings[sc.hostNamed("a1")].Callers, key, "r1", 2, 100*time.Millisecond)
 		time.Sleep(5 * time.Second)
-		is.Equal(verdict, verd.MayHaveRun.String())
-		is.Equal(upsim.Examine(sc.Ledger.Runs()).ByID["r1"], 1)
-	})
+	}
+	verdict := sc.post(sc.Settings[sc.hostNamed("a1")].Callers, key, "r1", 2, age)
+	time.Sleep(5 * time.Second)
+	is.Equal(verdict, verd.MayHaveRun.String())
+	is.Equal(upsim.Examine(sc.Ledger.Runs()).ByID["r1"], 1)
 }
 
 // A resend at any entry host gets the outcome of the first attempt.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -32,6 +32,7 @@
 	Zone        string `json:"zone"`
 	Incarnation string `json:"incarnation"`
 	Up          bool   `json:"up"`
+	Returned    bool   `json:"returned,omitempty"` // it has had an earlier life
 }
 
 // IsUp reports whether this life of a host counts as up.
@@ -165,7 +166,16 @@
 		}
 		return
 	}
-	s.Hosts[mark.Name] = &Host{Name: mark.Name, Zone: mark.Zone, Incarnation: mark.Incarnation, Up: true}
+	s.Hosts[mark.Name] = &Host{
+		Name: mark.Name, Zone: mark.Zone, Incarnation: mark.Incarnation, Up: true,
+		Returned: host != nil && (host.Returned || host.Incarnation != mark.Incarnation),
+	}
+}
+
+// IsFirstLife reports whether a host is known to be in its first life, so that it can't have lost anything.
+func (s *State) IsFirstLife(holder Holder) bool {
+	host := s.Hosts[holder.Host]
+	return host != nil && host.Incarnation == holder.Incarnation && !host.Returned
 }
 
 // chain extends the digest by a command, so that copies which differ anywhere differ from then on.
