Generate configuration and settings from a questionnaire

Until now configurations were written by hand, and settings came for loopback only. Ruled out: asking at a prompt, whose answers can't be revised or compared; a schema that stops at the first fault. Change: questionnaire new, check and generate. The check speaks the users' words, gives line and remedy, and lists all faults: a host in no zone, too few disks or too few zones with them, an urgent rank with the least worth, two services on one path, callers who give up before their rank's promise, shared ports and others.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -48,6 +48,7 @@
 	add("run", upstreamCommand())
 	add("try", loadCommand())
 	add("try", settingsCommand())
+	add("operate", questionnaireCommand())
 	add("operate", configCommand())
 	add("operate", statusCommand())
 	add("operate", timelineCommand())
--- /dev/null
+++ b/internal/cmds/quest.go
@@ -0,0 +1,101 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"lovagelink.example/lovagelink/internal/quest"
+)
+
+func questionnaireCommand() command {
+	var folder string
+	return command{
+		name:  "questionnaire",
+		short: "write a questionnaire, check its answers, or generate configuration and settings from them",
+		usage: "questionnaire new FILE | check FILE | [--folder DIR] generate FILE",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&folder, "folder", "run", "where generated files go")
+		},
+		run: func(_ context.Context, args []string, out io.Writer) error {
+			if len(args) != 2 {
+				return usageError{"say new FILE, check FILE or generate FILE"}
+			}
+			switch args[0] {
+			case "new":
+				return newQuestionnaire(args[1], out)
+			case "check":
+				_, err := checkAnswers(args[1], out)
+				return err
+			case "generate":
+				return generateFiles(args[1], folder, out)
+			}
+			return usageError{fmt.Sprintf("%q is neither new, check nor generate", args[0])}
+		},
+	}
+}
+
+// newQuestionnaire never writes over answers that are there.
+func newQuestionnaire(path string, out io.Writer) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+	if errors.Is(err, fs.ErrExist) {
+		return fmt.Errorf("%s is there already; name another file", path)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = file.WriteString(quest.Template)
+	if err := errors.Join(err, file.Close()); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: change the answers to yours, then run lovagelink questionnaire check %s\n", path, path)
+	return nil
+}
+
+// checkAnswers prints every fault of a questionnaire.
+func checkAnswers(path string, out io.Writer) (quest.Answers, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return quest.Answers{}, err
+	}
+	answers, faults, err := quest.Check(data)
+	if err != nil {
+		return quest.Answers{}, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, fault := range faults {
+		fmt.Fprintf(out, "%s: %s\n", path, fault)
+	}
+	if len(faults) > 0 {
+		return quest.Answers{}, fmt.Errorf("%s: %d answers can't stand; correct them and check again", path, len(faults))
+	}
+	fmt.Fprintf(out, "%s: %d zones, %d hosts, %d ranks, %d services\n", path,
+		len(answers.Zones), len(answers.Hosts), len(answers.Ranks), len(answers.Services))
+	return answers, nil
+}
+
+func generateFiles(path, folder string, out io.Writer) error {
+	answers, err := checkAnswers(path, out)
+	if err != nil {
+		return err
+	}
+	files, err := quest.Generate(answers)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	for _, file := range files {
+		target := filepath.Join(folder, file.Name)
+		if err := os.WriteFile(target, file.Data, 0o600); err != nil {
+			return err
+		}
+		fmt.Fprintln(out, target)
+	}
+	return nil
+}
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -84,7 +84,7 @@
 // ParseConfig reads a configuration, fills in defaults and checks it.
 func ParseConfig(data []byte) (Config, error) {
 	var config Config
-	if err := decode(data, &config); err != nil {
+	if err := Decode(data, &config); err != nil {
 		return Config{}, err
 	}
 	for i := range config.Services {
--- a/internal/conf/host.go
+++ b/internal/conf/host.go
@@ -35,7 +35,7 @@
 		return Host{}, trace.Wrap(err, "settings %s can't be read; name a file with --settings", path)
 	}
 	var host Host
-	if err := decode(data, &host); err != nil {
+	if err := Decode(data, &host); err != nil {
 		return Host{}, trace.BadParameter("settings %s: %v", path, err)
 	}
 	if err := host.Check(); err != nil {
--- a/internal/conf/yaml.go
+++ b/internal/conf/yaml.go
@@ -10,9 +10,9 @@
 	"github.com/goccy/go-yaml"
 )
 
-// decode reads YAML strictly: an unknown field is an error that shows its line. The YAML library panics
+// Decode reads YAML strictly: an unknown field is an error that shows its line. The YAML library panics
 // on some texts that are no YAML; such a text must not end the process of every host that reads it.
-func decode(data []byte, into any) (err error) {
+func Decode(data []byte, into any) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = fmt.Errorf("the file can't be read as YAML (%v); look for stray tags, anchors and brackets", cause)
