Show what a configuration would change, and name the hosts that are not reached

Cause: operators accepted a configuration without seeing its change, and waited in vain for hosts that are down: config accept counted whoever had ever reported, and said nothing of the others. Ruled out: waiting for all hosts of the settings, which never ends while one is down. TestChangesInWords has eight changes.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -83,3 +83,33 @@
 		}
 	})
 }
+
+func TestChangesInWords(t *testing.T) {
+	data, err := os.ReadFile("../../examples/gauteng.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, err := ParseConfig(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, change := range []struct{ old, new, want string }{
+		{"worth: 100", "worth: 100.0", ""},
+		{"worth: 100", "worth: 50", "rank confirmation: worth was 100 and becomes 50"},
+		{"deadline: 10s", "deadline: 8s", "service plan: POST: deadline was 10s and becomes 8s; service plan: PUT: deadline was 10s and becomes 8s"},
+		{"[GET, HEAD]", "[GET]", "service plan: HEAD is refused from now on"},
+		{"segment: 2", "header: X-Wall", "service plan: key was segment 2 and becomes header X-Wall"},
+		{"when-cut: stay", "when-cut: move", "service commission: when-cut was stay and becomes move"},
+		{"name: commission", "name: commissions", "service commission is gone: its route /commission/ leads nowhere; service commissions is new, with route /commission/"},
+		{"  - {name: booking, target: 1s, worth: 20, floor: 0.2, wait: 5s}\n  - {name: layout, target: 500ms, worth: 1, floor: 0.1}", "  - {name: layout, target: 500ms, worth: 1, floor: 0.1}\n  - {name: booking, target: 1s, worth: 20, floor: 0.2, wait: 5s}", "the ranks' order is now confirmation, layout, booking"},
+	} {
+		t.Run(change.want, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(string(data), change.old, change.new, 1)
+			is.True(text != string(data))
+			after, err := ParseConfig([]byte(text))
+			is.NoErr(err)
+			is.Equal(strings.Join(Changes(before, after), "; "), change.want)
+		})
+	}
+}
--- a/internal/entry/oper.go
+++ b/internal/entry/oper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"goji.io"
@@ -169,7 +170,40 @@
 		writeFault(w, notRun(http.StatusServiceUnavailable, "control", err.Error(), "ask a host of another zone"))
 		return
 	}
-	writeJSON(w, progress)
+	writeJSON(w, h.progress(progress))
+}
+
+// Progress tells how far each host has come in the log.
+type Progress struct {
+	Hosts       map[string]uint64 `json:"hosts"`                 // all hosts; 0 for one that has never reported
+	Unreachable []string          `json:"unreachable,omitempty"` // those that are not up at present
+}
+
+// Behind lists the hosts that are up and have not reached an index.
+func (p Progress) Behind(index uint64) []string {
+	var names []string
+	for host, reached := range p.Hosts {
+		if reached < index && !slices.Contains(p.Unreachable, host) {
+			names = append(names, host)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// progress adds to the leader's view the hosts of the settings that are not up.
+func (h *Host) progress(led ctrl.Progress) Progress {
+	progress := Progress{Hosts: make(map[string]uint64)}
+	h.feed.Read(func(s *state.State) {
+		for host := range h.zones {
+			progress.Hosts[host] = led.Hosts[host]
+			if mark := s.Hosts[host]; mark == nil || !mark.Up {
+				progress.Unreachable = append(progress.Unreachable, host)
+			}
+		}
+	})
+	slices.Sort(progress.Unreachable)
+	return progress
 }
 
 // serveDrain begins the leaving of an upstream.
