Filter the time line, and draw it as a page

Cause: the time line had one filter and only text, and one host that was down kept all others' events back. Ruled out: a script in the page, or a picture library: an SVG from a template needs neither. A host that does not answer is named on standard error, and the others are shown. After: tests of the filters and of a page with a hostile text; by hand with three processes and one killed.

--- a/internal/cmds/operate.go
+++ b/internal/cmds/operate.go
@@ -17,7 +17,6 @@
 
 	"lovagelink.example/lovagelink/internal/demo"
 	"lovagelink.example/lovagelink/internal/entry"
-	"lovagelink.example/lovagelink/internal/event"
 	"lovagelink.example/lovagelink/internal/load"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/upsim"
@@ -115,42 +114,6 @@
 	return keys
 }
 
-func timelineCommand() command {
-	var at, kind string
-	return command{
-		name:  "timeline",
-		short: "show the events of all hosts in one order",
-		usage: "timeline --at IP:PORT,... [--kind KIND]",
-		flags: func(flags *flag.FlagSet) {
-			flags.StringVar(&at, "at", defaultOperator, "operators' addresses of the hosts, separated by commas")
-			flags.StringVar(&kind, "kind", "", "only events whose kind starts so")
-		},
-		run: func(ctx context.Context, _ []string, out io.Writer) error {
-			var lines [][]event.Event
-			for _, address := range strings.Split(at, ",") {
-				var line []event.Event
-				if err := ask(ctx, http.MethodGet, address, "/timeline", nil, &line); err != nil {
-					return err
-				}
-				lines = append(lines, line)
-			}
-			printTimeline(out, event.Merge(lines...), kind)
-			return nil
-		},
-	}
-}
-
-func printTimeline(out io.Writer, events []event.Event, kind string) {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	for _, one := range events {
-		if strings.HasPrefix(one.Kind, kind) {
-			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t\n",
-				one.Stamp.Wall.UTC().Format("15:04:05.000"), one.Host, one.Kind, one.Subject, one.Detail)
-		}
-	}
-	_ = table.Flush()
-}
-
 func loadCommand() command {
 	var shape, entries, ledgers string
 	var settings load.Settings
--- /dev/null
+++ b/internal/cmds/timeline.go
@@ -0,0 +1,108 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/event"
+)
+
+func timelineCommand() command {
+	var at, page, since, until string
+	var filter event.Filter
+	return command{
+		name:  "timeline",
+		short: "show the events of all hosts in one order, as text or as a page with a picture",
+		usage: "timeline --at IP:PORT,... [--host NAME] [--kind KIND] [--subject NAME] [--since TIME] [--until TIME] [--html FILE]",
+		flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&at, "at", defaultOperator, "operators' addresses of the hosts, separated by commas")
+			flags.StringVar(&filter.Host, "host", "", "only events that this host has noted")
+			flags.StringVar(&filter.Kind, "kind", "", "only events whose kind starts so")
+			flags.StringVar(&filter.Subject, "subject", "", "only events of this host, upstream or zone")
+			flags.StringVar(&since, "since", "", "only events from then on, such as 2026-01-31T12:00:00Z or 10m for ten minutes ago")
+			flags.StringVar(&until, "until", "", "only events until then, written alike")
+			flags.StringVar(&page, "html", "", "write a page with a picture to this file")
+		},
+		run: func(ctx context.Context, _ []string, out io.Writer) error {
+			now := time.Now()
+			var err error
+			if filter.Since, err = parseTime(now, since); err != nil {
+				return usageError{"--since: " + err.Error()}
+			}
+			if filter.Until, err = parseTime(now, until); err != nil {
+				return usageError{"--until: " + err.Error()}
+			}
+			events, err := collectEvents(ctx, strings.Split(at, ","))
+			if err != nil {
+				fmt.Fprintf(os.Stderr, "lovagelink timeline: %v\n", err)
+			}
+			if len(events) == 0 && err != nil {
+				return errors.New("no host has answered")
+			}
+			return writeTimeline(out, page, filter.Apply(events))
+		},
+	}
+}
+
+// parseTime reads a point in time, or how long ago it was; "" is none.
+func parseTime(now time.Time, text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	if ago, err := time.ParseDuration(text); err == nil {
+		return now.Add(-ago), nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return time.Time{}, fmt.Errorf("%q is neither a time such as 2026-01-31T12:00:00Z nor a period such as 10m", text)
+	}
+	return at, nil
+}
+
+// collectEvents merges the time lines of the hosts that answer; the error names those that don't.
+func collectEvents(ctx context.Context, addresses []string) ([]event.Event, error) {
+	var lines [][]event.Event
+	var faults []error
+	for _, address := range addresses {
+		var line []event.Event
+		if err := ask(ctx, http.MethodGet, strings.TrimSpace(address), "/timeline", nil, &line); err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		lines = append(lines, line)
+	}
+	return event.Merge(lines...), errors.Join(faults...)
+}
+
+func writeTimeline(out io.Writer, page string, events []event.Event) error {
+	if page == "" {
+		printTimeline(out, events)
+		return nil
+	}
+	file, err := os.Create(page)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(event.WritePage(file, events), file.Close()); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: %d events\n", page, len(events))
+	return nil
+}
+
+func printTimeline(out io.Writer, events []event.Event) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, one := range events {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t\n",
+			one.Stamp.Wall.UTC().Format("15:04:05.000"), one.Host, one.Kind, one.Subject, one.Detail)
+	}
+	_ = table.Flush()
+}
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -20,3 +21,39 @@
 	is.Equal(merged[0].Kind, "cause")
 	is.Equal(merged[1].Kind, "effect")
 }
+
+func TestFilter(t *testing.T) {
+	is := is.New(t)
+	noon := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	line := NewLine("a", &Clock{})
+	line.Add(noon, "host-up", "b", "")
+	line.Add(noon.Add(time.Minute), "host-down", "b", "")
+	line.Add(noon.Add(2*time.Minute), "host-down", "c", "")
+	for _, one := range []struct {
+		filter Filter
+		want   int
+	}{
+		{Filter{}, 3},
+		{Filter{Kind: "host-d"}, 2},
+		{Filter{Subject: "b"}, 2},
+		{Filter{Host: "b"}, 0},
+		{Filter{Since: noon.Add(time.Minute)}, 2},
+		{Filter{Since: noon.Add(time.Second), Until: noon.Add(time.Minute)}, 1},
+	} {
+		is.Equal(len(one.filter.Apply(line.All())), one.want)
+	}
+}
+
+// The page stands alone, and what a host has said of an event can't break it.
+func TestPageStandsAlone(t *testing.T) {
+	is := is.New(t)
+	line := NewLine("a", &Clock{})
+	line.Add(time.Unix(1000, 0), "replica-failed", "a", "<script>alert(1)</script>")
+	var page strings.Builder
+	is.NoErr(WritePage(&page, line.All()))
+	text := page.String()
+	is.True(strings.Contains(text, "replica-failed"))
+	is.True(!strings.Contains(text, "<script"))
+	is.True(!strings.Contains(text, "http"))
+	is.NoErr(WritePage(&page, nil))
+}
