Keep an index of slots by owner

Ruled out: looking only every so often, which delays a takeover; sending each host only its rows, since any entry host may need any slot. Change: a table keeps the slots of each owner, and changes slots in one place; roles, status and time line read it. The random test of followers compares it with a walk. The time line starts with no zone-alone before the first configuration.

--- a/internal/disp/set.go
+++ b/internal/disp/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -93,11 +94,9 @@
 			}
 			roles[id] = roleOf(st, u, service)
 		}
-		for _, table := range st.Tables {
-			for number, slot := range table.Slots {
-				if role, ok := roles[slot.Owner]; ok {
-					role.Slots[number] = slot
-				}
+		for id, role := range roles {
+			if table := st.Tables[role.Upstream.Service]; table != nil {
+				maps.Insert(role.Slots, table.Owned(id))
 			}
 		}
 	})
--- a/internal/entry/oper.go
+++ b/internal/entry/oper.go
@@ -87,12 +87,12 @@
 		status.Upstreams[id] = &copied
 	}
 	for _, table := range s.Tables {
-		for _, slot := range table.Slots {
-			if slot.Owner == "" {
-				status.Unowned++
+		for owner, count := range table.Counts() {
+			if owner == "" {
+				status.Unowned += count
 				continue
 			}
-			status.Owned[slot.Owner]++
+			status.Owned[owner] += count
 		}
 	}
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -45,8 +45,8 @@
 			v.upstreams[id] = upstreamView{u.Phase, u.Host, u.Epoch}
 		}
 		for _, table := range s.Tables {
-			for _, slot := range table.Slots {
-				v.owned[slot.Owner]++
+			for owner, count := range table.Counts() {
+				v.owned[owner] += count
 			}
 		}
 	})
--- /dev/null
+++ b/internal/entry/view_test.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"lovagelink.example/lovagelink/internal/state"
+)
+
+// BenchmarkView is what the time line of a host costs for one change, at several numbers of upstreams.
+func BenchmarkView(b *testing.B) {
+	for _, upstreams := range []int{30, 330, 3300} {
+		b.Run(fmt.Sprintf("upstreams-%d", upstreams), func(b *testing.B) {
+			b.ReportAllocs()
+			feed := state.NewFeed()
+			for i := range upstreams {
+				join := state.Command{Join: &state.Join{Upstream: state.Announced{ID: fmt.Sprint("plan-", i), Service: "plan"}}}
+				data, err := json.Marshal(join)
+				if err != nil {
+					b.Fatal(err)
+				}
+				feed.Apply(uint64(i+1), data)
+			}
+			previous := viewOf(feed)
+			for b.Loop() {
+				next := viewOf(feed)
+				if len(next.since(previous)) > 0 {
+					b.Fatal("nothing has changed")
+				}
+				previous = next
+			}
+		})
+	}
+}
--- a/internal/entry/zone.go
+++ b/internal/entry/zone.go
@@ -53,7 +53,8 @@
 	return now.Before(z.until)
 }
 
-// run renews the zone's authority while this host has no lease from the leader.
+// run renews the zone's authority while this host has no lease from the leader. Before the first
+// configuration there is nothing to serve.
 func (z *zoneLease) run() error {
 	ticker := time.NewTicker(zonePeriod)
 	defer ticker.Stop()
@@ -63,7 +64,8 @@
 		case <-z.host.tomb.Dying():
 			return nil
 		case now := <-ticker.C:
-			if !now.Before(z.host.client.LeaseUntil()) && z.poll(now) {
+			isLeased := now.Before(z.host.client.LeaseUntil())
+			if !isLeased && z.host.hasConfig() && z.poll(now) {
 				z.extend(now.Add(disp.ZoneLease))
 			}
 			if isAlone := z.isAlone(time.Now()); isAlone != wasAlone {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -62,6 +62,12 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("read state: %w", err)
 	}
+	for name, table := range s.Tables {
+		if table == nil {
+			return nil, fmt.Errorf("read state: service %s has no table", name)
+		}
+		table.reindex()
+	}
 	if s.Body == "" {
 		return s, nil
 	}
@@ -148,7 +154,7 @@
 func (s *State) fitTables() {
 	for _, service := range s.Config.Services {
 		if s.Tables[service.Name] == nil {
-			s.Tables[service.Name] = &Table{Slots: make([]Slot, service.Slots)}
+			s.Tables[service.Name] = newTable(service.Slots)
 		}
 	}
 	for name := range s.Tables {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 
@@ -92,6 +93,7 @@
 					}
 					epochs[i] = slot.Epoch
 				}
+				checkIndex(t, s)
 			})
 			if rapid.Bool().Draw(t, "follow") {
 				batch, err := leader.Since(follower.Index())
@@ -104,6 +106,7 @@
 		if err != nil || follower.Follow(batch) != nil {
 			t.Fatal("follower has diverged")
 		}
+		follower.Read(func(s *State) { checkIndex(t, s) })
 		mine, _ := leader.Snapshot()
 		theirs, _ := follower.Snapshot()
 		if string(mine) != string(theirs) {
@@ -112,6 +115,29 @@
 	})
 }
 
+// checkIndex compares the index of owners with a walk over all slots.
+func checkIndex(t *rapid.T, s *State) {
+	table := s.Tables["plan"]
+	if table == nil {
+		return
+	}
+	walked := make(map[string]int)
+	for _, slot := range table.Slots {
+		walked[slot.Owner]++
+	}
+	counted := maps.Collect(table.Counts())
+	if !maps.Equal(walked, counted) {
+		t.Fatalf("owners are %v, by the index %v", walked, counted)
+	}
+	for owner := range counted {
+		for number, slot := range table.Owned(owner) {
+			if slot != table.Slots[number] || slot.Owner != owner {
+				t.Fatalf("slot %d of %s is %v by the index", number, owner, slot)
+			}
+		}
+	}
+}
+
 func FuzzApply(f *testing.F) {
 	f.Add([]byte(`{"accept":{"request-id":"a","body":"x"}}`))
 	f.Add([]byte(`{"assign":[{"service":"plan","slot":-1}]}`))
