Refuse a long request in an overload before its body is read

Cause: a request that its dispatcher would refuse was read whole first, up to the body limit, and carried over the hop. Ruled out: remembering refusals on the entry hosts; an upstream that takes a third of what comes would get less than that, since each refusal would hold back the next request too. Asking for short bodies as well: the question costs as much as the body. Change: for a body from 64 KiB on, or of unknown length, that the caller sends for the first time, the dispatcher is asked whether it would refuse; what it would refuse is answered at once, with Retry-After. Without an answer in 100 ms the body is read. A resend is never refused early, since its outcome may be known. Before: TestLongBodyIsRefusedEarly fails, the body is read.

--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -219,16 +219,13 @@
 	if d.closed || s.moving {
 		return nil, notRun(reasonMoved), false
 	}
-	rank := min(r.Rank, len(d.floors)-1)
+	rank := d.rankOf(r)
 	wait := d.pace.wait(d.queue.Ahead(rank))
-	limit := r.Left
-	useful := r.Wait - r.Wait/waitMargin
-	if d.behind[rank].update(now, wait+d.pace.service > useful) {
-		limit = min(limit, useful)
-	}
-	if wait+d.pace.service > limit {
+	useful := usefulWait(r)
+	isBehind := d.behind[rank].update(now, wait+d.pace.service > useful)
+	if outcome, isLate := d.judge(r, wait, isBehind); isLate {
 		d.Stats.Refused.Add(1)
-		return nil, refused(http.StatusServiceUnavailable, reasonLate, wait), false
+		return nil, outcome, false
 	}
 	value := &waiting{ready: make(chan struct{}), wait: useful}
 	item := d.queue.Push(now, value, rank, now.Add(r.Left))
@@ -237,6 +234,38 @@
 	return item, Outcome{}, true
 }
 
+// judge refuses what could not be done in time; in an overload only the useful wait counts.
+func (d *Dispatcher) judge(r Request, wait time.Duration, isBehind bool) (outcome Outcome, isLate bool) {
+	limit := r.Left
+	if isBehind {
+		limit = min(limit, usefulWait(r))
+	}
+	if wait+d.pace.service <= limit {
+		return Outcome{}, false
+	}
+	return refused(http.StatusServiceUnavailable, reasonLate, wait), true
+}
+
+func (d *Dispatcher) rankOf(r Request) int { return min(r.Rank, len(d.floors)-1) }
+
+// usefulWait is the longest wait in an overload that leaves time for the work and the way back.
+func usefulWait(r Request) time.Duration { return r.Wait - r.Wait/waitMargin }
+
+// Refuses tells before the body of a request is read whether it would be refused at present.
+func (d *Dispatcher) Refuses(r Request) (Outcome, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return Outcome{}, false
+	}
+	rank := d.rankOf(r)
+	outcome, isLate := d.judge(r, d.pace.wait(d.queue.Ahead(rank)), d.behind[rank].on)
+	if isLate {
+		d.Stats.Refused.Add(1)
+	}
+	return outcome, isLate
+}
+
 // withdraw takes a request out of the queue; it reports false when its turn has just come.
 func (d *Dispatcher) withdraw(s *share, item *queue.Item[*waiting]) bool {
 	d.mu.Lock()
--- a/internal/disp/set.go
+++ b/internal/disp/set.go
@@ -128,6 +128,17 @@
 	return d.Run(ctx, r)
 }
 
+// Refuses tells whether a request would be refused at present; one whose dispatcher is not here is not.
+func (s *Set) Refuses(r Request) (Outcome, bool) {
+	s.mu.Lock()
+	d := s.disps[r.Upstream]
+	s.mu.Unlock()
+	if d == nil {
+		return Outcome{}, false
+	}
+	return d.Refuses(r)
+}
+
 // Retire ends the dispatcher of an upstream here if another host has taken over under a higher epoch.
 func (s *Set) Retire(upstream string, epoch uint64) {
 	s.mu.Lock()
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -61,6 +61,11 @@
 	now := time.Now()
 	p, fault := h.parse(now, request)
 	if fault == nil {
+		if outcome, isRefused := h.refusedEarly(now, request, p); isRefused {
+			w.Header().Set("Connection", "close")
+			h.answer(w, p, outcome)
+			return
+		}
 		fault = readBody(w, request, p)
 	}
 	if fault != nil {
@@ -68,7 +73,10 @@
 		writeFault(w, fault)
 		return
 	}
-	outcome := h.forward(request.Context(), p)
+	h.answer(w, p, h.forward(request.Context(), p))
+}
+
+func (h *Host) answer(w http.ResponseWriter, p *parsed, outcome disp.Outcome) {
 	h.stats.count(outcome.Verdict)
 	writeOutcome(w, p, outcome)
 }
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -105,6 +105,7 @@
 // serveHosts answers the calls of other hosts' entry side and dispatchers.
 func (h *Host) serveHosts() {
 	peer.On(h.hub, "detour", h.serveDetour)
+	peer.On(h.hub, "early", h.serveEarly)
 	peer.On(h.hub, "zone", h.zoneLease.serveZone)
 	peer.On(h.hub, "start", func(_ context.Context, _ string, args startArgs) (bool, error) {
 		if err := h.attempts.start(args.Token); err != nil {
--- a/internal/fleet/flood_test.go
+++ b/internal/fleet/flood_test.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"lovagelink.example/lovagelink/examples"
 	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/pkg/verd"
 )
 
 // Sizes of the flood scenes: a tenth of Gauteng, so that ten times its capacity fits one machine.
@@ -98,3 +107,71 @@
 		})
 	}
 }
+
+// countedBody is a request's body that counts the bytes that were taken from it.
+type countedBody struct {
+	left int
+	read atomic.Int64
+}
+
+func (b *countedBody) Read(buf []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(buf), b.left)
+	b.left -= n
+	b.read.Add(int64(n))
+	return n, nil
+}
+
+// In a flood a long request that would be refused is refused before its body is sent, and says when to
+// come back; in calm the same request is taken.
+func TestLongBodyIsRefusedEarly(t *testing.T) {
+	const length = 512 << 10
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		sc := open(t, smallSetup())
+		verdict, _, _ := sc.postLong(length)
+		is.Equal(verdict, verd.Ran.String())
+		flooded := sc.flood("booking", 10*smallCapacity, 5*time.Second)
+		time.Sleep(4 * time.Second)
+		refused := 0
+		for range 20 {
+			verdict, after, read := sc.postLong(length)
+			if verdict == verd.NotRun.String() {
+				refused++
+				is.Equal(read, int64(0))
+				is.True(after != "")
+			}
+		}
+		<-flooded
+		t.Logf("%d of 20 refused", refused)
+		is.True(refused >= 10)
+	})
+}
+
+// postLong lodges a booking with a long body that is sent only once the entry host asks for it. It
+// returns the verdict, when to come back, and how much of the body was sent.
+func (sc *scene) postLong(length int) (verdict, retryAfter string, read int64) {
+	transport := &http.Transport{
+		DialContext:           peer.DialHTTP(sc.net.At("callers", "long")),
+		ExpectContinueTimeout: 10 * time.Second,
+	}
+	defer transport.CloseIdleConnections()
+	body := &countedBody{left: length}
+	url := fmt.Sprintf("http://%s/plan/wall-1/bookings", sc.Entries()[0])
+	request, err := http.NewRequest(http.MethodPost, url, body)
+	if err != nil {
+		sc.t.Fatal(err)
+	}
+	request.ContentLength = int64(length)
+	request.Header.Set("Expect", "100-continue")
+	request.Header.Set("Request-Id", rand.Text())
+	request.Header.Set("Request-Attempt", "1")
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		sc.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.Header.Get(verd.Header), response.Header.Get("Retry-After"), body.read.Load()
+}
