Run failures amid a flood, and never call a repeated view not run

Together, with all connections silent, 4 refusals of layouts were false: a caller sent a layout again whose first answer was lost, and the refusal of the second attempt said not-run of an id that had run. Nobody keeps what became of idempotent work. Ruled out: keeping ids of idempotent work in the book, which would triple it. Change: a refusal of idempotent work says may-have-run unless the caller sends it for the first time; a request without an id of its caller's is new.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo lint test bench
+.PHONY: build demo lint test soak bench
 
 # Tests that KNOWN-RED.txt lists are passed over and printed.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|' -)
@@ -18,5 +18,10 @@
 	@cat KNOWN-RED.txt
 	go test -race -timeout 30m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# soak runs every pair of failures and thousands of interleavings of the log.
+soak:
+	go test -timeout 60m -run TestTwoFailures ./internal/fleet -soak
+	go test -timeout 60m -run TestRandomFailures ./pkg/paxos -seeds 3000
+
 bench:
 	go test -run '^$$' -bench . -benchtime 1s -timeout 30m ./...
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -31,7 +31,7 @@
 	defer cancel()
 	h.retries.earn()
 	pause := retryPause
-	mayHaveRun := false
+	mayHaveRun := p.Idempotent && !p.isFirst // nobody keeps what became of work that may run twice
 	for {
 		changed := h.feed.Changed()
 		outcome := h.try(ctx, p)
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -40,7 +40,7 @@
 // parsed is a caller's request with what the configuration says of it.
 type parsed struct {
 	disp.Request
-	isFirst  bool      // the caller says that it has not sent the request before
+	isFirst  bool      // the caller has not sent the request before, as it says or since the id is new
 	isDetour bool      // another entry host has sent it here
 	sentAt   time.Time // when the caller sent the request for the first time
 	deadline time.Time
@@ -111,15 +111,17 @@
 		return nil, notRun(http.StatusBadRequest, "header "+upapi.HeaderRequestID, "it is missing",
 			"send an id of your own, and the same one when you send the request again")
 	}
+	isFirst := request.Header.Get(headerAttempt) == "1"
 	if id == "" {
 		id = newToken()
+		isFirst = true
 	}
 	key, fault := keyOf(service, rule, request, id)
 	if fault != nil {
 		return nil, fault
 	}
 	rank := s.Config.RankOf(rule.Rank)
-	p := &parsed{isFirst: request.Header.Get(headerAttempt) == "1", deadline: now.Add(rule.Deadline - answerMargin)}
+	p := &parsed{isFirst: isFirst, deadline: now.Add(rule.Deadline - answerMargin)}
 	p.sentAt = now.Add(-ageOf(request.Header, p.isFirst))
 	p.Request = disp.Request{
 		Service: service.Name, Key: key, Slot: place.Slot(key, service.Slots), ID: id,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"lovagelink.example/lovagelink/examples"
 	"lovagelink.example/lovagelink/internal/load"
 	"lovagelink.example/lovagelink/internal/memnet"
+	"lovagelink.example/lovagelink/internal/naive"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/upsim"
 )
@@ -34,7 +35,8 @@
 	result  *load.Result
 	done    chan struct{}
 	began   time.Time
-	victims map[int]bool // hosts that were killed
+	victims map[int]bool    // hosts that were killed
+	routers []*naive.Router // in place of the hosts
 	closed  chan struct{}
 }
 
--- a/internal/fleet/flood_test.go
+++ b/internal/fleet/flood_test.go
@@ -14,7 +14,9 @@
 
 	"lovagelink.example/lovagelink/examples"
 	"lovagelink.example/lovagelink/internal/load"
+	"lovagelink.example/lovagelink/internal/memnet"
 	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/upsim"
 	"lovagelink.example/lovagelink/pkg/verd"
 )
 
@@ -54,11 +56,14 @@
 	return done
 }
 
-// runFlood loads a scene, floods it, and returns the ordinary callers' share of worth served.
-func runFlood(t *testing.T, sc *scene, name string, factor float64) (share float64, ordinary, flood *load.Result) {
+// runFlood loads a scene, floods it, strikes amid the flood, and returns the ordinary callers' share of
+// worth served.
+func runFlood(t *testing.T, sc *scene, name string, factor float64, strike func(sc *scene)) (share float64, ordinary, flood *load.Result) {
 	sc.load(load.Gauteng(), smallRate, floodPeriod)
 	time.Sleep(time.Second)
 	flooded := sc.flood(name, factor*smallCapacity, floodPeriod-2*time.Second)
+	time.Sleep(time.Second)
+	strike(sc)
 	<-sc.done
 	flood = <-flooded
 	served, asked := sc.result.Worth()
@@ -72,6 +77,8 @@
 	return served / asked, sc.result, flood
 }
 
+func unharmed(*scene) {}
+
 // In a flood the urgent work is served, the others keep their floors, and the naive router does worse.
 func TestFloods(t *testing.T) {
 	for _, scene := range []struct {
@@ -89,20 +96,74 @@
 			in(t, func(t *testing.T) {
 				trusting := smallSetup()
 				trusting.checks = false
-				share, _, _ := runFlood(t, openNaive(t, trusting), scene.call, scene.factor)
+				share, _, _ := runFlood(t, openNaive(t, trusting), scene.call, scene.factor, unharmed)
 				t.Logf("naive: worth served %.3f", share)
 				sc := open(t, smallSetup())
-				mine, _, flood := runFlood(t, sc, scene.call, scene.factor)
+				mine, _, flood := runFlood(t, sc, scene.call, scene.factor, unharmed)
 				t.Logf("lovagelink: worth served %.3f", mine)
 				if mine < scene.floor || mine < share {
 					t.Errorf("worth served %.3f, naive %.3f, floor %.3f", mine, share, scene.floor)
 				}
-				runs := sc.Ledger.Runs()
-				for _, result := range []*load.Result{sc.result, flood} {
-					if verdict := result.Judge(runs); !verdict.OK() {
-						t.Errorf("promises broken: %+v", verdict)
-					}
+				sc.judgeAll(flood)
+			})
+		})
+	}
+}
+
+// judgeAll checks every promise to the ordinary callers and to those of a flood.
+func (sc *scene) judgeAll(flood *load.Result) {
+	sc.t.Helper()
+	runs := sc.Ledger.Runs()
+	for _, result := range []*load.Result{sc.result, flood} {
+		if verdict := result.Judge(runs); !verdict.OK() {
+			sc.t.Errorf("promises broken: %+v", verdict)
+		}
+	}
+}
+
+// Something fails amid a flood of the least urgent at 3 times the capacity: every promise holds, and the
+// ordinary callers get no less of their worth than from the naive router.
+func TestFailuresInFlood(t *testing.T) {
+	shedding, cold := smallSetup(), smallSetup()
+	shedding.groups[0].ShedAbove = 1
+	cold.groups[0].Cold = 4 * time.Second
+	for _, one := range []struct {
+		name   string
+		setup  setup
+		strike func(sc *scene)
+	}{
+		{"upstreams-shed", shedding, unharmed},
+		{"upstreams-cold", cold, unharmed},
+		{"upstream-slow", smallSetup(), func(sc *scene) {
+			sc.Upstream("plan-02").Misbehave(upsim.Faults{Late: 300 * time.Millisecond})
+		}},
+		{"upstream-lost", smallSetup(), func(sc *scene) { sc.Upstream("plan-02").Kill() }},
+		{"upstream-frozen", smallSetup(), func(sc *scene) {
+			sc.Upstream("plan-02").Freeze(true)
+			time.Sleep(2 * time.Second)
+			sc.Upstream("plan-02").Freeze(false)
+		}},
+		{"host-lost", smallSetup(), func(sc *scene) { sc.stopEntry(1) }},
+		{"connections-silent", smallSetup(), func(sc *scene) {
+			sc.net.Silence(func(from, to memnet.Place) bool { return from.Zone != "callers" && to.Zone != "callers" })
+		}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			t.Parallel()
+			in(t, func(t *testing.T) {
+				trusting := one.setup
+				trusting.checks = false
+				other := openNaive(t, trusting)
+				share, _, flood := runFlood(t, other, "layout", 3, one.strike)
+				runs := other.Ledger.Runs()
+				t.Logf("naive: worth served %.3f, %+v, flood %+v", share, other.result.Judge(runs), flood.Judge(runs))
+				sc := open(t, one.setup)
+				mine, _, flood := runFlood(t, sc, "layout", 3, one.strike)
+				t.Logf("lovagelink: worth served %.3f", mine)
+				if mine < share {
+					t.Errorf("worth served %.3f, naive %.3f", mine, share)
 				}
+				sc.judgeAll(flood)
 			})
 		})
 	}
--- a/internal/fleet/naive_test.go
+++ b/internal/fleet/naive_test.go
@@ -33,12 +33,13 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(router.Stop)
+		sc.routers = append(sc.routers, router)
 	}
 	t.Cleanup(func() {
 		for _, upstream := range f.Upstreams {
 			upstream.Kill()
 		}
-		time.Sleep(15 * time.Second) // for frozen requests to end
+		time.Sleep(3 * time.Minute) // for requests that queue at upstreams to end
 	})
 	for _, upstream := range f.Upstreams {
 		if err := upstream.Start(); err != nil {
@@ -49,6 +50,15 @@
 	return sc
 }
 
+// stopEntry ends an entry host, or the naive router in its place.
+func (sc *scene) stopEntry(i int) {
+	if sc.routers != nil {
+		sc.routers[i].Stop()
+		return
+	}
+	sc.kill(i)
+}
+
 // naiveRate leaves enough requests under way for a violation to be seen, in requests a second.
 const naiveRate = 400
 
