Say less in grants and heartbeats

Cause: an entry host sent 2.5 to 3.1 KB/s for control while nothing happened, and 0.5 KB/s of slot loads under load: over the 3 KB/s of the target. Twelve grants a second carry the library's User-Agent and a null list; slot loads name their fields for each slot. Ruled out: fewer grants or heartbeats, which lengthen the time until a loss is seen. The bound of 3 KB/s is now asserted at 20 hosts too.

--- a/internal/ctrl/bench_test.go
+++ b/internal/ctrl/bench_test.go
@@ -86,9 +86,11 @@
 			l := &Leader{feed: state.NewFeed()}
 			l.reset(now)
 			beat := Beat{Zone: "a", Incarnation: strings.Repeat("i", 24), Reached: []string{"plan-1", "plan-2", "plan-3"}}
+			loads := SlotLoads{Service: "plan"}
 			for i := range 60 {
-				beat.Loads = append(beat.Loads, SlotLoad{Service: "plan", Slot: i, Count: 40})
+				loads.Add(i, 40)
 			}
+			beat.Loads = []SlotLoads{loads}
 			data, _ := json.Marshal(beat)
 			for i := 0; b.Loop(); i++ {
 				var one Beat
--- a/internal/ctrl/loads.go
+++ b/internal/ctrl/loads.go
@@ -18,9 +18,11 @@
 	return &loads{slots: make(map[slotKey]float64)}
 }
 
-func (l *loads) add(reports []SlotLoad) {
+func (l *loads) add(reports []SlotLoads) {
 	for _, report := range reports {
-		l.slots[slotKey{report.Service, report.Slot}] += float64(report.Count)
+		for i, slot := range report.Slots[:min(len(report.Slots), len(report.Counts))] {
+			l.slots[slotKey{report.Service, slot}] += float64(report.Counts[i])
+		}
 	}
 }
 
--- a/internal/ctrl/wire.go
+++ b/internal/ctrl/wire.go
@@ -28,15 +28,22 @@
 	Reached     []string          `json:"reached,omitempty"`  // upstreams that confirmed a grant lately
 	Draining    []string          `json:"draining,omitempty"` // upstreams that say they are leaving
 	Idle        []string          `json:"idle,omitempty"`     // draining upstreams without work
-	Loads       []SlotLoad        `json:"loads,omitempty"`
+	Loads       []SlotLoads       `json:"loads,omitempty"`
 	Leaving     bool              `json:"leaving,omitempty"` // the host is stopping and wants no roles
 }
 
-// SlotLoad is how many requests a slot has had since the last report.
-type SlotLoad struct {
+// SlotLoads is how many requests some slots of a service have had since the last report. Two lists of numbers
+// take a quarter of the bytes of a list of pairs by name.
+type SlotLoads struct {
 	Service string `json:"service"`
-	Slot    int    `json:"slot"`
-	Count   int    `json:"count"`
+	Slots   []int  `json:"slots"`
+	Counts  []int  `json:"counts"` // by the position of the slot in Slots
+}
+
+// Add appends the count of a slot.
+func (s *SlotLoads) Add(slot, count int) {
+	s.Slots = append(s.Slots, slot)
+	s.Counts = append(s.Counts, count)
 }
 
 // BeatReply grants the lease, or names the host that may do so.
--- a/internal/disp/set.go
+++ b/internal/disp/set.go
@@ -165,16 +165,24 @@
 			beat.Idle = append(beat.Idle, id)
 		}
 		if withLoads {
-			d.Counts(func(slot, count int) {
-				if slot == AnySlot {
-					return
-				}
-				beat.Loads = append(beat.Loads, ctrl.SlotLoad{Service: d.upstream.Service, Slot: slot, Count: count})
-			})
+			if loads := d.loads(); len(loads.Slots) > 0 {
+				beat.Loads = append(beat.Loads, loads)
+			}
 		}
 	}
 }
 
+// loads are the requests of each slot since the last report.
+func (d *Dispatcher) loads() ctrl.SlotLoads {
+	loads := ctrl.SlotLoads{Service: d.upstream.Service}
+	d.Counts(func(slot, count int) {
+		if slot != AnySlot {
+			loads.Add(slot, count)
+		}
+	})
+	return loads
+}
+
 // Health returns the health of each upstream that this host dispatches for.
 func (s *Set) Health(now time.Time) map[string]Health {
 	s.mu.Lock()
--- a/internal/fleet/cost_test.go
+++ b/internal/fleet/cost_test.go
@@ -26,7 +26,7 @@
 			time.Sleep(period * time.Second)
 			rate := (sc.net.Sent(owner) - before) / period
 			t.Logf("%d hosts: %s sends %d bytes/s", hosts, owner, rate)
-			if hosts <= 10 && rate > controlBudget {
+			if rate > controlBudget {
 				t.Errorf("%d hosts: %d bytes/s for control", hosts, rate)
 			}
 		})
--- a/internal/upapi/grant.go
+++ b/internal/upapi/grant.go
@@ -32,7 +32,7 @@
 	Host     string        `json:"host"`
 	Until    time.Duration `json:"until"` // by the upstream's clock; 0 only asks for the clock
 	Digest   uint64        `json:"digest"`
-	Slots    []SlotGrant   `json:"slots"` // nil when the digest is enough
+	Slots    []SlotGrant   `json:"slots,omitzero"` // nil when the digest is enough
 }
 
 // SlotGrant is one slot with its epoch.
