Compare the time without service with the naive router

Change: TestUnavailable, with few keys that are asked for often; make bench prints it, the failures in floods and the control bytes.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,4 @@
 
 bench:
 	go test -run '^$$' -bench . -benchtime 1s -timeout 30m ./...
+	go test -count 1 -v -run 'TestUnavailable|TestFailuresInFlood|TestControlBytes' ./internal/fleet
