--- a/internal/cmds/operate.go
+++ b/internal/cmds/operate.go
@@ -12,11 +12,9 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/demo"
-	"lovagelink.example/lovagelink/internal/entry"
 	"lovagelink.example/lovagelink/internal/load"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/upsim"
@@ -67,44 +65,6 @@
 	return json.NewDecoder(response.Body).Decode(into)
 }
 
-func statusCommand() command {
-	var at string
-	return command{
-		name:  "status",
-		short: "show hosts, zones, leader and upstreams",
-		usage: "status [--at IP:PORT]",
-		flags: func(flags *flag.FlagSet) {
-			flags.StringVar(&at, "at", defaultOperator, atUsage)
-		},
-		run: func(ctx context.Context, _ []string, out io.Writer) error {
-			var status entry.Status
-			if err := ask(ctx, http.MethodGet, at, "/status", nil, &status); err != nil {
-				return err
-			}
-			printStatus(out, status)
-			return nil
-		},
-	}
-}
-
-func printStatus(out io.Writer, status entry.Status) {
-	fmt.Fprintf(out, "as seen by %s in zone %s: configuration %d, log index %d, leader %s, %d slots without owner\n\n",
-		status.Host, status.Zone, status.Version, status.Index, status.Leader, status.Unowned)
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "host\tzone\tup\t")
-	for _, name := range sorted(status.Hosts) {
-		host := status.Hosts[name]
-		fmt.Fprintf(table, "%s\t%s\t%v\t\n", name, host.Zone, host.Up)
-	}
-	fmt.Fprintln(table, "\t\t\t")
-	fmt.Fprintln(table, "upstream\tzone\tphase\tdispatcher\tslots owned\t")
-	for _, id := range sorted(status.Upstreams) {
-		u := status.Upstreams[id]
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t\n", id, u.Zone, u.Phase, u.Host, status.Owned[id])
-	}
-	_ = table.Flush()
-}
-
 func sorted[V any](m map[string]V) []string {
 	var keys []string
 	for key := range m {
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -186,11 +186,12 @@
 
 // Health is what a dispatcher knows of its upstream.
 type Health struct {
-	Reached  bool
-	Draining bool
-	Idle     bool
-	Queued   int
-	Running  int
+	Reached  bool  `json:"reached"`
+	Draining bool  `json:"draining"`
+	Idle     bool  `json:"idle"`
+	Queued   int   `json:"queued"`
+	Waiting  []int `json:"waiting"` // queued requests by rank
+	Running  int   `json:"running"`
 }
 
 // Health returns the present state of the upstream.
@@ -202,6 +203,19 @@
 		Draining: d.grant.draining,
 		Idle:     len(d.shares) == 0 && d.running == 0 && d.queue.Len() == 0,
 		Queued:   d.queue.Len(),
+		Waiting:  d.waiting(),
 		Running:  d.running,
 	}
 }
+
+// waiting counts the queued requests of each rank; the lock is held.
+func (d *Dispatcher) waiting() []int {
+	counts := make([]int, len(d.floors))
+	before := 0
+	for rank := range counts {
+		ahead := d.queue.Ahead(rank)
+		counts[rank] = ahead - before
+		before = ahead
+	}
+	return counts
+}
--- a/internal/entry/oper.go
+++ b/internal/entry/oper.go
@@ -33,7 +33,8 @@
 	Owned      map[string]int             `json:"owned"`
 	Unowned    int                        `json:"unowned"`
 	Dispatches map[string]disp.Health     `json:"dispatches"`
-	Replicas   []string                   `json:"replicas,omitempty"`
+	Replicas   []string                   `json:"replicas,omitempty"` // as far as this host holds one
+	Ranks      []string                   `json:"ranks"`              // the most urgent first
 	Counts     map[string]int64           `json:"counts"`
 }
 
@@ -76,6 +77,9 @@
 }
 
 func (status *Status) fill(s *state.State) {
+	for _, rank := range s.Config.Ranks {
+		status.Ranks = append(status.Ranks, rank.Name)
+	}
 	status.Index = s.Index
 	status.Version = s.Version
 	for name, host := range s.Hosts {
--- a/internal/fleet/drain_test.go
+++ b/internal/fleet/drain_test.go
@@ -8,8 +8,8 @@
 	"lovagelink.example/lovagelink/internal/upsim"
 )
 
-// fewSeconds is how long an upstream that is leaving may still get new work.
-const fewSeconds = 3 * time.Second
+// drainBound is how long an upstream that is leaving may still get new work.
+const drainBound = 3 * time.Second
 
 // A leaving upstream gets no new work after a few seconds, in calm and in a flood.
 func TestDrainEndsNewWork(t *testing.T) {
@@ -26,13 +26,13 @@
 				trusting.checks = false
 				last, _ := drainUnderLoad(openNaive(t, trusting), one.factor)
 				t.Logf("naive: last new work after %v", last)
-				if last <= fewSeconds {
+				if last <= drainBound {
 					t.Error("the scene shows no violation by the naive router")
 				}
 				sc := open(t, smallSetup())
 				last, flood := drainUnderLoad(sc, one.factor)
 				t.Logf("lovagelink: last new work after %v", last)
-				if last > fewSeconds {
+				if last > drainBound {
 					t.Errorf("new work %v after it began to leave", last)
 				}
 				sc.judgeAll(flood)
