Keep a generated file that someone has changed

Cause: questionnaire generate wrote over files of an earlier run, with whatever had been changed in them. Change: a file that differs is kept beside the new one as NAME.old; one that is the same is left.

--- a/internal/cmds/quest.go
+++ b/internal/cmds/quest.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -91,11 +92,29 @@
 		return err
 	}
 	for _, file := range files {
-		target := filepath.Join(folder, file.Name)
-		if err := os.WriteFile(target, file.Data, 0o600); err != nil {
+		done, err := replaceFile(filepath.Join(folder, file.Name), file.Data)
+		if err != nil {
 			return err
 		}
-		fmt.Fprintln(out, target)
+		fmt.Fprintln(out, done)
 	}
 	return nil
 }
+
+// replaceFile writes a file, keeps a former one that differs under another name, and says what was done.
+func replaceFile(path string, data []byte) (string, error) {
+	former, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return path, os.WriteFile(path, data, 0o600)
+	case err != nil:
+		return "", err
+	case bytes.Equal(former, data):
+		return path + ": as before", nil
+	}
+	kept := path + ".old"
+	if err := os.Rename(path, kept); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s: the former one is kept as %s", path, kept), os.WriteFile(path, data, 0o600)
+}
