Test that callers reach no call of operators, upstreams or hosts

Cause: the addresses are apart, but nothing asserted it. Change: four more requests in TestFaultyRequests, all refused with a true not-run. Conclusion: holds.

--- a/internal/fleet/upstream_test.go
+++ b/internal/fleet/upstream_test.go
@@ -68,6 +68,10 @@
 		entry := sc.Settings[0].Callers
 		for _, one := range []struct{ method, path, id, body, want string }{
 			{"GET", "/nowhere/", "r", "", "no service has this route"},
+			{"GET", "/status", "r", "", "no service has this route"}, // what operators, upstreams and hosts may call
+			{"POST", "/config", "r", "x", "no service has this route"},
+			{"POST", "/lovagelink/announce", "r", "x", "no service has this route"},
+			{"POST", "/run", "r", "x", "no service has this route"},
 			{"PATCH", "/plan/wall-1", "r", "", "no rule for it"},
 			{"POST", "/plan/wall-1/bookings", "", "x", "header Request-Id"},
 			{"POST", "/plan/", "r", "x", "the key is missing"},
