Ask several hosts in one place

Cause: status and timeline each had a loop over operators' addresses with the same handling of those that fail. Change: askEach serves both, warn tells of what failed. After: by hand with three processes, one address without a host: shown without it, named on standard error.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -54,6 +54,13 @@
 	add("operate", timelineCommand())
 }
 
+// warn tells of an error that does not end a subcommand.
+func warn(name string, err error) {
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "lovagelink %s: %v\n", name, err)
+	}
+}
+
 var errBroken = fmt.Errorf("a promise was broken; see the verdict")
 
 // Name returns the name of the subcommand.
--- a/internal/cmds/operate.go
+++ b/internal/cmds/operate.go
@@ -65,6 +65,22 @@
 	return json.NewDecoder(response.Body).Decode(into)
 }
 
+// askEach reads the same path from several operators' addresses, separated by commas; the error names
+// those that do not answer.
+func askEach[T any](ctx context.Context, addresses, path string) ([]T, error) {
+	var answers []T
+	var faults []error
+	for _, address := range strings.Split(addresses, ",") {
+		var answer T
+		if err := ask(ctx, http.MethodGet, strings.TrimSpace(address), path, nil, &answer); err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		answers = append(answers, answer)
+	}
+	return answers, errors.Join(faults...)
+}
+
 func sorted[V any](m map[string]V) []string {
 	var keys []string
 	for key := range m {
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -1,13 +1,11 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -25,37 +23,19 @@
 			flags.StringVar(&at, "at", defaultOperator, "operators' addresses, separated by commas; queues are shown for the hosts asked")
 		},
 		run: func(ctx context.Context, _ []string, out io.Writer) error {
-			all, err := collectStatus(ctx, strings.Split(at, ","))
+			all, err := askEach[entry.Status](ctx, at, "/status")
 			if len(all) == 0 {
 				return err
 			}
-			if err != nil {
-				fmt.Fprintf(os.Stderr, "lovagelink status: %v\n", err)
-			}
+			warn("status", err)
+			slices.SortStableFunc(all, func(a, b entry.Status) int { return cmp.Compare(b.Index, a.Index) })
 			printStatus(out, all)
 			return nil
 		},
 	}
 }
 
-// collectStatus asks the hosts, and puts first the one that knows the most; the error names those that
-// do not answer.
-func collectStatus(ctx context.Context, addresses []string) ([]entry.Status, error) {
-	var all []entry.Status
-	var faults []error
-	for _, address := range addresses {
-		var status entry.Status
-		if err := ask(ctx, http.MethodGet, strings.TrimSpace(address), "/status", nil, &status); err != nil {
-			faults = append(faults, err)
-			continue
-		}
-		all = append(all, status)
-	}
-	slices.SortStableFunc(all, func(a, b entry.Status) int { return int(b.Index) - int(a.Index) })
-	return all, errors.Join(faults...)
-}
-
-// printStatus shows the state as the first host knows it, with the queues of all.
+// printStatus shows the state as the first host knows it, which knows the most, with the queues of all.
 func printStatus(out io.Writer, all []entry.Status) {
 	first := all[0]
 	fmt.Fprintf(out, "as seen by %s in zone %s: configuration %d, log index %d, leader %s, %d slots without owner\n\n",
--- a/internal/cmds/timeline.go
+++ b/internal/cmds/timeline.go
@@ -6,9 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -40,14 +38,12 @@
 			if filter.Until, err = parseTime(now, until); err != nil {
 				return usageError{"--until: " + err.Error()}
 			}
-			events, err := collectEvents(ctx, strings.Split(at, ","))
-			if err != nil {
-				fmt.Fprintf(os.Stderr, "lovagelink timeline: %v\n", err)
+			lines, err := askEach[[]event.Event](ctx, at, "/timeline")
+			if len(lines) == 0 {
+				return err
 			}
-			if len(events) == 0 && err != nil {
-				return errors.New("no host has answered")
-			}
-			return writeTimeline(out, page, filter.Apply(events))
+			warn("timeline", err)
+			return writeTimeline(out, page, filter.Apply(event.Merge(lines...)))
 		},
 	}
 }
@@ -67,21 +63,6 @@
 	return at, nil
 }
 
-// collectEvents merges the time lines of the hosts that answer; the error names those that don't.
-func collectEvents(ctx context.Context, addresses []string) ([]event.Event, error) {
-	var lines [][]event.Event
-	var faults []error
-	for _, address := range addresses {
-		var line []event.Event
-		if err := ask(ctx, http.MethodGet, strings.TrimSpace(address), "/timeline", nil, &line); err != nil {
-			faults = append(faults, err)
-			continue
-		}
-		lines = append(lines, line)
-	}
-	return event.Merge(lines...), errors.Join(faults...)
-}
-
 func writeTimeline(out io.Writer, page string, events []event.Event) error {
 	if page == "" {
 		printTimeline(out, events)
