Keep the incarnation of a host in one place

Cause: the host now holds its incarnation, and its reporter kept a copy beside the host that it already has. Change: the reporter reads its host's. Nothing else changes.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -105,7 +105,7 @@
 	clock := &event.Clock{}
 	h.line = event.NewLine(settings.Name, clock)
 	h.zoneLease = &zoneLease{host: h}
-	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), h.sources(), &reporter{h, h.incarnation}, clock)
+	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), h.sources(), &reporter{h}, clock)
 	h.disps = disp.NewSet(h.feed, h.incarnation, disp.Deps{
 		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Witness: witness{h}, Historian: h,
 		Control: h, Book: h.book, Stats: &h.dispatch,
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -11,14 +11,13 @@
 
 // reporter makes the heartbeats of a host.
 type reporter struct {
-	host        *Host
-	incarnation string
+	host *Host
 }
 
 // Report tells what the next heartbeat should say.
 func (r *reporter) Report(now time.Time, withLoads bool) ctrl.Beat {
 	h := r.host
-	beat := ctrl.Beat{Zone: h.settings.Zone, Incarnation: r.incarnation}
+	beat := ctrl.Beat{Zone: h.settings.Zone, Incarnation: h.incarnation}
 	beat.Leaving = h.isLeaving()
 	h.feed.Read(func(s *state.State) { beat.Announced = h.heard.unknown(now, s) })
 	h.disps.Report(now, withLoads, &beat)
