Send each request to an upstream once, and know whether any of it was written

Cause: net/http's transport sends a request a second time by itself when a connection in use fails: GET, HEAD, OPTIONS and TRACE, and any request without a body that has an Idempotency-Key header. Where that second connection was refused, the error of the dial hid that the first one had carried the request. - The dispatcher sent exclusive work twice (an empty POST with the caller's Idempotency-Key, an exclusive GET, HEAD or OPTIONS), and called a view "not run" that the upstream had read. - The caller of the scenes said Request-Attempt 1 of a request that a lost host had taken in.

Change: internal/once sends a request once, counts what is written to its connection, and seals the connection of a failed one; "not run" now rests on no byte written, in place of the kind of the error. A rule names known methods only, so that the cases that the library treats apart are all covered.

Conclusion: no request is sent again but by the entry host, within its budget and its verdicts.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -37,6 +37,8 @@
 		{"when-cut: stay", "when-cut: go", "neither move nor stay"},
 		{"key: {segment: 2}", "key: {segment: 2, header: x}", "either a segment or a header"},
 		{"worth: 20", "worth: -1", "Worth"},
+		{"[GET, HEAD]", "[GET, TRACE]", "\"TRACE\" is no method"},
+		{"[GET, HEAD]", "[get]", "\"get\" is no method"},
 	} {
 		t.Run(fault.old, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/conf/config.go
+++ b/internal/conf/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -73,6 +74,12 @@
 	Header  string `yaml:"header,omitempty"`
 }
 
+// Methods lists the HTTP methods that a rule can name.
+var Methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodOptions,
+	http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
 // Rule gives the requests of some methods their rank.
 type Rule struct {
 	Methods    []string      `yaml:"methods" validate:"required,min=1"`
@@ -157,6 +164,9 @@
 			return fmt.Errorf("%s: rules[%d]: rank %q is not in ranks; add it there or correct the name", place, j, rule.Rank)
 		}
 		for _, method := range rule.Methods {
+			if !slices.Contains(Methods, method) {
+				return fmt.Errorf("%s: rules[%d]: %q is no method; choose among %s", place, j, method, strings.Join(Methods, ", "))
+			}
 			if methods[method] {
 				return fmt.Errorf("%s: rules[%d]: method %s stands in two rules; keep one", place, j, method)
 			}
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"gopkg.in/tomb.v2"
 
+	"lovagelink.example/lovagelink/internal/once"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/queue"
@@ -52,8 +52,8 @@
 	exclusive bool
 	before    string
 	stays     bool
-	client    *http.Client // for work
-	prober    *http.Client // for grants
+	client    *once.Client // for work
+	prober    *once.Client // for grants
 	nudge     chan struct{}
 	tomb      tomb.Tomb
 	missed    bool // the last grant was not answered; used by the grant loop alone
--- a/internal/disp/grant.go
+++ b/internal/disp/grant.go
@@ -193,7 +193,7 @@
 		return reply, err
 	}
 	request.Header.Set("User-Agent", "") // keeps the library from sending its own with each grant
-	response, err := d.prober.Do(request)
+	response, _, err := d.prober.Do(request)
 	if err != nil {
 		return reply, err
 	}
--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -6,11 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/once"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/upapi"
 	"lovagelink.example/lovagelink/pkg/verd"
@@ -23,17 +23,14 @@
 	probeIdle   = 30 * time.Second       // the prober's is kept, so that it shows silence
 )
 
-func newClient(network peer.Network, connections int, idle time.Duration) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         peer.DialHTTP(network),
-			MaxConnsPerHost:     max(connections, 1),
-			MaxIdleConnsPerHost: max(connections, 1),
-			IdleConnTimeout:     idle,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+func newClient(network peer.Network, connections int, idle time.Duration) *once.Client {
+	return once.New(&http.Transport{
+		DialContext:         peer.DialHTTP(network),
+		MaxConnsPerHost:     max(connections, 1),
+		MaxIdleConnsPerHost: max(connections, 1),
+		IdleConnTimeout:     idle,
+		DisableCompression:  true,
+	})
 }
 
 // send carries one request to the upstream and reads the whole answer.
@@ -77,15 +74,13 @@
 	}
 }
 
-// build makes the request to the upstream. Its body can't be rewound, so that the library never
-// sends it a second time on its own.
+// build makes the request to the upstream.
 func (d *Dispatcher) build(ctx context.Context, now time.Time, s *share, r Request) (*http.Request, error) {
 	url := "http://" + d.upstream.Address.String() + r.Path
 	request, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, fmt.Errorf("request can't be passed on: %w", err)
 	}
-	request.GetBody = nil
 	request.Header = r.Header.Clone()
 	if request.Header == nil {
 		request.Header = make(http.Header)
@@ -111,14 +106,14 @@
 
 // exchange sends the request and checks that the answer is whole and its own.
 func (d *Dispatcher) exchange(request *http.Request, r Request) Outcome {
-	response, err := d.client.Do(request)
+	response, wasSent, err := d.client.Do(request)
 	if err != nil {
-		return d.failed(err, r)
+		return d.failed(err, r, wasSent)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
-		return d.failed(err, r)
+		return d.failed(err, r, true)
 	}
 	if len(body) > maxAnswer {
 		return unknown(fmt.Sprintf("the answer is longer than %d bytes", maxAnswer))
@@ -126,7 +121,7 @@
 	if id := response.Header.Get(upapi.HeaderRequestID); id != "" && id != r.ID {
 		d.Stats.Crossed.Add(1)
 		d.client.CloseIdleConnections()
-		return d.failed(errors.New("the answer belongs to another request"), r)
+		return d.failed(errors.New("the answer belongs to another request"), r, true)
 	}
 	verdict := verd.Ran
 	if text := response.Header.Get(upapi.HeaderVerdict); text != "" {
@@ -140,13 +135,12 @@
 	return outcome
 }
 
-// failed judges an exchange without an answer. Only a connection that was never made is sure not to
-// have carried the request.
-func (d *Dispatcher) failed(err error, r Request) Outcome {
+// failed judges an exchange without an answer. Only a request of which nothing was written is sure not
+// to have run.
+func (d *Dispatcher) failed(err error, r Request, wasSent bool) Outcome {
 	d.Stats.Failed.Add(1)
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return notRun("the upstream accepts no connection")
+	if !wasSent {
+		return notRun("no connection to the upstream has taken the request: " + err.Error())
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		d.client.CloseIdleConnections()
--- a/internal/disp/turn_test.go
+++ b/internal/disp/turn_test.go
@@ -11,7 +11,10 @@
 )
 
 func newDispatcher() *Dispatcher {
-	network := memnet.New(func(_, _ memnet.Place) time.Duration { return 0 })
+	return newDispatcherOn(memnet.New(func(_, _ memnet.Place) time.Duration { return 0 }))
+}
+
+func newDispatcherOn(network *memnet.Net) *Dispatcher {
 	role := Role{
 		Upstream: state.Upstream{Announced: state.Announced{ID: "u", Service: "plan", Slots: 1, Connections: 1}},
 		Floors:   []float64{0},
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -14,6 +12,7 @@
 	"sync"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/once"
 	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/upapi"
@@ -52,7 +51,7 @@
 // Runner drives callers.
 type Runner struct {
 	settings Settings
-	client   *http.Client
+	client   *once.Client
 	result   *Result
 }
 
@@ -60,9 +59,9 @@
 func New(settings Settings, network peer.Network) *Runner {
 	return &Runner{
 		settings: settings,
-		client: &http.Client{Transport: &http.Transport{
+		client: once.New(&http.Transport{
 			DialContext: peer.DialHTTP(network), MaxIdleConnsPerHost: 1024, DisableCompression: true,
-		}},
+		}),
 		result: newResult(settings.Shape),
 	}
 }
@@ -127,10 +126,9 @@
 	request.Header.Set(upapi.HeaderRequestID, id)
 	request.Header.Set("Request-Attempt", strconv.Itoa(attempt))
 	request.Header.Set("Request-Age", strconv.FormatInt(age.Milliseconds(), 10))
-	response, err := r.client.Do(request)
+	response, wasSent, err := r.client.Do(request)
 	if err != nil {
-		var op *net.OpError
-		return !errors.As(err, &op) || op.Op != "dial"
+		return wasSent
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
--- a/internal/quest/check.go
+++ b/internal/quest/check.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"strings"
+
+	"lovagelink.example/lovagelink/internal/conf"
 )
 
 // portsOfHost is how many ports in a row a host listens on.
@@ -209,6 +211,9 @@
 			c.fault(place+".methods", "none is named", "name the HTTP methods of this work, such as [POST]")
 		}
 		for _, method := range work.Methods {
+			if !slices.Contains(conf.Methods, method) {
+				c.fault(place+".methods", fmt.Sprintf("%q is no method", method), "choose among "+strings.Join(conf.Methods, ", "))
+			}
 			if methods[method] {
 				c.fault(place+".methods", fmt.Sprintf("%s stands for two kinds of work", method), "keep one")
 			}
--- a/internal/quest/quest_test.go
+++ b/internal/quest/quest_test.go
@@ -76,6 +76,7 @@
 		{"key: {segment: 2}", "key: {segment: 2, header: X-Key}", "services[0].key", "one place"},
 		{"serve-elsewhere\n    #", "stop\n    #", "services[0].when-zone-is-cut-off", "no choice"},
 		{"[POST, PUT]", "[POST, GET]", "services[0].work[1].methods", "two kinds of work"},
+		{"[POST, PUT]", "[POST, put]", "services[0].work[1].methods", "no method"},
 	} {
 		t.Run(one.field+" "+one.says, func(t *testing.T) {
 			is := is.New(t)
