Offload work without keys from a slow upstream, and use one again that has recovered

Cause: the slot of the request id decided alone which upstream does work of a service without keys. Besides, a rank that was overloaded was refused by the estimate of how long the upstream takes, and without an answer that estimate never changed: an upstream that had recovered stayed unused, for good where no other rank sent it anything.

Ruled out: choosing the upstream on the entry host. A resend would reach another dispatcher than the first attempt, so that each one would have to ask every host first.

Change: the slot's dispatcher keeps the record and offloads the work once it would take a quarter of its useful wait, if one of two others picked at random is twice as fast. The other dispatcher starts it only with the first one's permit, until that one's lease ends. A free place is used in an overload too, and an answer behind 2 s of silence counts half in the estimate.

Conclusion: one slow upstream costs its own probes, not its share.

--- a/internal/disp/admit.go
+++ b/internal/disp/admit.go
@@ -63,10 +63,12 @@
 	return item, Outcome{}, true
 }
 
-// judge refuses what could not be done in time; in an overload only the useful wait counts.
+// judge refuses what could not be done in time; in an overload only the useful wait counts. What can start
+// at once is taken in an overload too: its answer shows whether the upstream is as slow as it was.
 func (d *Dispatcher) judge(r Request, wait time.Duration, isBehind bool) (outcome Outcome, isLate bool) {
 	limit := r.Left
-	if isBehind {
+	isFree := d.running < d.pace.limit && d.queue.Len() == 0
+	if isBehind && !isFree {
 		limit = min(limit, usefulWait(r))
 	}
 	if wait+d.pace.service <= limit {
@@ -84,8 +86,8 @@
 func (d *Dispatcher) Refuses(r Request) (Outcome, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed {
-		return Outcome{}, false
+	if d.closed || d.free {
+		return Outcome{}, false // free work may be offloaded
 	}
 	rank := d.rankOf(r)
 	outcome, isLate := d.judge(r, d.pace.wait(d.queue.Ahead(rank)), d.behind[rank].on)
--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -71,6 +71,22 @@
 	return one, true
 }
 
+// take enters a request that another host's dispatcher has offloaded, whose start this host may have noted
+// already. It returns false with a record that is under way here or settled.
+func (b *Book) take(now time.Time, r Request) (*record, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	one := b.records[noteKey{r.Service, r.ID}]
+	if one == nil {
+		one = b.enter(now, NoteOf(r))
+	}
+	if one.running || one.settled {
+		return one, false
+	}
+	one.running = true
+	return one, true
+}
+
 // enter adds a record; the lock is held.
 func (b *Book) enter(now time.Time, note Note) *record {
 	one := &record{note: note, noted: now, done: make(chan struct{})}
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -19,10 +19,16 @@
 }
 
 // Witness makes sure before an exclusive request is sent that another host knows of it, and that
-// its entry host still wants it. Start returns the host that has noted the start.
+// its entry host still wants it.
 type Witness interface {
-	Start(ctx context.Context, r Request) (noted string, err error)
-	Finished(r Request, noted string, outcome Outcome)
+	Start(ctx context.Context, r Request) (Noted, error)
+	Finished(r Request, by string, outcome Outcome)
+}
+
+// Noted is a start that another host knows of.
+type Noted struct {
+	By    string    // the host that has noted it
+	Until time.Time // when the request may last be sent; zero where there is no such bound
 }
 
 // Control takes a dispatcher's reports.
@@ -39,6 +45,7 @@
 	ZoneLease Lease // for services that stay in a zone that is cut off
 	Witness   Witness
 	Historian Historian
+	Offloader Offloader
 	Control   Control
 	Book      *Book
 	Stats     *Stats
@@ -52,6 +59,7 @@
 	exclusive bool
 	before    string
 	stays     bool
+	free      bool
 	client    *once.Client // for work
 	prober    *once.Client // for grants
 	nudge     chan struct{}
@@ -87,6 +95,7 @@
 		exclusive: role.Exclusive,
 		before:    role.Before,
 		stays:     role.Stays,
+		free:      role.Free,
 		client:    newClient(deps.Network, role.Upstream.Connections, idleTimeout),
 		prober:    newClient(deps.Network, 2, probeIdle),
 		nudge:     make(chan struct{}, 1),
--- a/internal/disp/pace.go
+++ b/internal/disp/pace.go
@@ -6,6 +6,8 @@
 const (
 	firstService = 20 * time.Millisecond // assumed until answers have been seen
 	smoothing    = 0.1
+	resmoothing  = 0.5             // of an answer behind a long silence
+	staleAfter   = 2 * time.Second // without an answer
 	shedPause    = 100 * time.Millisecond
 	growAfter    = 8 // answers between two steps of the limit upwards
 )
@@ -26,10 +28,14 @@
 
 // answered takes in an answer; the limit grows back step by step.
 func (p *pace) answered(began time.Time, took time.Duration) {
+	weight := smoothing
+	if p.isStale(began) {
+		weight = resmoothing
+	}
 	if began.After(p.newest) {
 		p.newest = began
 	}
-	p.service += time.Duration(smoothing * float64(took-p.service))
+	p.service += time.Duration(weight * float64(took-p.service))
 	p.answers++
 	if p.answers >= growAfter && p.limit < p.slots {
 		p.limit++
@@ -37,6 +43,9 @@
 	}
 }
 
+// isStale reports whether the estimate rests on old answers alone.
+func (p *pace) isStale(now time.Time) bool { return now.Sub(p.newest) > staleAfter }
+
 // shed takes in a refusal by an upstream that is overloaded.
 func (p *pace) shed(now time.Time) {
 	p.limit = max(p.limit/2, 1)
--- a/internal/disp/role.go
+++ b/internal/disp/role.go
@@ -15,12 +15,13 @@
 	Slots     map[int]state.Slot
 	Before    string // a host that may still believe that it is the dispatcher
 	Stays     bool   // the upstream is served by its own zone, even one that is cut off
+	Free      bool   // the service has no keys: any of its upstreams can do any work
 }
 
 // ZoneLease is how long a zone that is cut off goes on without asking its hosts again.
 const ZoneLease = 500 * time.Millisecond
 
-// AnySlot is the slot of work that a zone serves on its own, for services without keys.
+// AnySlot is the slot of free work: what a zone serves on its own, and what is offloaded.
 const AnySlot = -1
 
 // share is one slot of the upstream as its dispatcher sees it.
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -24,7 +24,7 @@
 func (d *Dispatcher) Run(ctx context.Context, r Request) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
 	defer cancel()
-	s, ok := d.shareOf(r.Slot)
+	s, ok := d.shareOf(r)
 	if !ok {
 		return notRun(reasonMoved)
 	}
@@ -35,14 +35,21 @@
 	case <-ctx.Done():
 		return notRun(reasonMoved)
 	}
-	if r.Idempotent {
+	switch {
+	case r.Offloaded:
+		return d.runOffloaded(ctx, s, r)
+	case r.Idempotent:
 		return d.attempt(ctx, s, r)
 	}
 	return d.runOnce(ctx, s, r)
 }
 
 // shareOf counts a request for its slot.
-func (d *Dispatcher) shareOf(slot int) (*share, bool) {
+func (d *Dispatcher) shareOf(r Request) (*share, bool) {
+	slot := r.Slot
+	if r.Free {
+		slot = AnySlot
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.shares[slot]
@@ -107,12 +114,17 @@
 			return unknown("an earlier attempt was started and its outcome was lost"), true
 		}
 	}
+	return d.awaitOutcome(ctx, one, r), true
+}
+
+// awaitOutcome waits until a record that a task on this host settles is settled.
+func (d *Dispatcher) awaitOutcome(ctx context.Context, one *record, r Request) Outcome {
 	select {
 	case <-one.done:
+		return d.Book.outcome(one, r)
 	case <-ctx.Done():
-		return unknown("an earlier request of this id is still under way"), true
+		return unknown("an earlier request of this id is still under way")
 	}
-	return d.Book.outcome(one, r), true
 }
 
 // search asks the other hosts how an earlier request has ended that one of them has started, as long
@@ -129,8 +141,11 @@
 	}
 }
 
-// attempt waits for its turn and sends the request.
+// attempt offloads the request, or waits for its turn and sends it.
 func (d *Dispatcher) attempt(ctx context.Context, s *share, r Request) Outcome {
+	if outcome, isOffloaded := d.offload(ctx, s, r); isOffloaded {
+		return outcome
+	}
 	if outcome, ok := d.await(ctx, s, r); !ok {
 		return outcome
 	}
@@ -148,8 +163,8 @@
 	}
 	vigil := d.watch(time.Now(), place.free)
 	defer vigil.end()
-	outcome := d.sendStarted(ctx, s, r)
-	d.Witness.Finished(r, noted, outcome)
+	outcome := d.sendStarted(ctx, s, r, noted.Until)
+	d.Witness.Finished(r, noted.By, outcome)
 	return outcome
 }
 
@@ -162,19 +177,23 @@
 		vigil := d.watch(time.Now(), cancel)
 		defer vigil.end()
 	}
-	return d.send(ctx, s, r)
+	return d.send(ctx, s, r, time.Time{})
 }
 
 // sendStarted sends a request that has been witnessed. It no longer ends with its caller, so that a
 // resend finds the outcome.
-func (d *Dispatcher) sendStarted(ctx context.Context, s *share, r Request) Outcome {
+func (d *Dispatcher) sendStarted(ctx context.Context, s *share, r Request, until time.Time) Outcome {
 	deadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
-	if reason := d.obstacle(time.Now(), s); reason != "" {
+	now := time.Now()
+	if reason := d.obstacle(now, s); reason != "" {
 		return notRun(reason)
 	}
-	return d.send(ctx, s, r)
+	if !until.IsZero() && !now.Before(until) {
+		return notRun(reasonLease)
+	}
+	return d.send(ctx, s, r, until)
 }
 
 // obstacle says why a request can't be sent at the present time, or "".
--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -33,10 +33,11 @@
 	})
 }
 
-// send carries one request to the upstream and reads the whole answer.
-func (d *Dispatcher) send(ctx context.Context, s *share, r Request) Outcome {
+// send carries one request to the upstream and reads the whole answer. A request with a bound must be
+// started before it.
+func (d *Dispatcher) send(ctx context.Context, s *share, r Request, until time.Time) Outcome {
 	began := time.Now()
-	request, err := d.build(ctx, began, s, r)
+	request, err := d.build(ctx, began, s, r, until)
 	if err != nil {
 		return refused(http.StatusBadRequest, err.Error(), 0)
 	}
@@ -75,7 +76,7 @@
 }
 
 // build makes the request to the upstream.
-func (d *Dispatcher) build(ctx context.Context, now time.Time, s *share, r Request) (*http.Request, error) {
+func (d *Dispatcher) build(ctx context.Context, now time.Time, s *share, r Request, until time.Time) (*http.Request, error) {
 	url := "http://" + d.upstream.Address.String() + r.Path
 	request, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
 	if err != nil {
@@ -89,11 +90,14 @@
 	defer d.mu.Unlock()
 	deadline, _ := ctx.Deadline()
 	before := minTime(d.grant.until, deadline)
+	if !until.IsZero() {
+		before = minTime(before, until)
+	}
 	set := request.Header.Set
 	set(upapi.HeaderRequestID, r.ID)
 	set(upapi.HeaderService, r.Service)
 	set(upapi.HeaderKey, r.Key)
-	set(upapi.HeaderSlot, strconv.Itoa(r.Slot))
+	set(upapi.HeaderSlot, strconv.Itoa(s.number))
 	set(upapi.HeaderEpoch, strconv.FormatUint(s.epoch, 10))
 	set(upapi.HeaderDispatch, strconv.FormatUint(d.epoch, 10))
 	set(upapi.HeaderRunBefore, strconv.FormatInt(int64(d.grant.clock+before.Sub(d.grant.acked)), 10))
--- a/internal/disp/send_test.go
+++ b/internal/disp/send_test.go
@@ -109,5 +109,5 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return d.send(ctx, newShare(time.Now(), 1, 1), r)
+	return d.send(ctx, newShare(time.Now(), 1, 1), r, time.Time{})
 }
--- a/internal/disp/set.go
+++ b/internal/disp/set.go
@@ -107,11 +107,12 @@
 	role := Role{
 		Upstream: *u, Exclusive: service.HasExclusive(), Floors: st.Config.Floors(),
 		Slots: make(map[int]state.Slot), Stays: service.WhenCut == conf.Stay,
+		Free: service.Key == nil,
 	}
 	if role.Stays || st.IsUp(u.Before) {
 		role.Before = u.Before.Host
 	}
-	if role.Stays && service.Key == nil && u.Phase == state.Serving {
+	if role.Free && u.Phase == state.Serving {
 		role.Slots[AnySlot] = state.Slot{Owner: u.ID, Epoch: u.Epoch}
 	}
 	return role
@@ -139,6 +140,17 @@
 	return d.Refuses(r)
 }
 
+// Expect tells how long offloaded work of a rank would take at an upstream; ok is false when none is taken.
+func (s *Set) Expect(now time.Time, upstream string, rank int) (expected Expected, ok bool) {
+	s.mu.Lock()
+	d := s.disps[upstream]
+	s.mu.Unlock()
+	if d == nil {
+		return Expected{}, false
+	}
+	return d.Expect(now, rank)
+}
+
 // Retire ends the dispatcher of an upstream here if another host has taken over under a higher epoch.
 func (s *Set) Retire(upstream string, epoch uint64) {
 	s.mu.Lock()
@@ -205,7 +217,7 @@
 
 // fits reports whether a role keeps the ranks that the dispatcher was made with.
 func (d *Dispatcher) fits(role Role) bool {
-	if len(role.Floors) != len(d.floors) || role.Stays != d.stays {
+	if len(role.Floors) != len(d.floors) || role.Stays != d.stays || role.Free != d.free {
 		return false
 	}
 	for i, floor := range role.Floors {
--- a/internal/disp/wire.go
+++ b/internal/disp/wire.go
@@ -25,10 +25,12 @@
 	Rank       int           `json:"rank"`
 	Wait       time.Duration `json:"wait"` // longest useful wait in an overload
 	Idempotent bool          `json:"idempotent"`
-	Left       time.Duration `json:"left"`    // time until the deadline
-	Patient    bool          `json:"patient"` // an earlier attempt was given up since its answer was overdue
-	Started    bool          `json:"started"` // an earlier attempt may have been sent
-	Age        time.Duration `json:"age"`     // since the caller sent the request for the first time
+	Left       time.Duration `json:"left"`                // time until the deadline
+	Patient    bool          `json:"patient"`             // an earlier attempt was given up since its answer was overdue
+	Started    bool          `json:"started"`             // an earlier attempt may have been sent
+	Free       bool          `json:"free,omitempty"`      // runs on any upstream of its service, whoever owns the slot
+	Offloaded  bool          `json:"offloaded,omitempty"` // free, and another dispatcher keeps its record
+	Age        time.Duration `json:"age"`                 // since the caller sent the request for the first time
 }
 
 // isRepeat reports whether an earlier attempt of the request may have run: one that the caller has
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"sync"
+	"time"
+
+	"lovagelink.example/lovagelink/internal/disp"
 )
 
 // ErrWithdrawn reports that nobody waits for an attempt any more.
@@ -11,37 +14,50 @@
 // attempts are the tries under way from this entry host. A dispatcher asks here before it sends an
 // exclusive request, so that a withdrawn attempt is sure not to run.
 type attempts struct {
-	mu      sync.Mutex
-	started map[string]bool
+	mu  sync.Mutex
+	all map[string]*attempt
+}
+
+// attempt is one try. A request that is offloaded needs the permit of the dispatcher that offloads it.
+type attempt struct {
+	started bool
+	permit  disp.Permit
 }
 
 func newAttempts() *attempts {
-	return &attempts{started: make(map[string]bool)}
+	return &attempts{all: make(map[string]*attempt)}
 }
 
-// open enters an attempt.
-func (a *attempts) open(token string) {
+// open enters an attempt; permit is nil for one that is not offloaded.
+func (a *attempts) open(token string, permit disp.Permit) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.started[token] = false
+	a.all[token] = &attempt{permit: permit}
 }
 
-// start lets an attempt be sent, unless it has been withdrawn.
-func (a *attempts) start(token string) error {
+// start lets an attempt be sent until a time, or at any time if that is zero, unless it has been withdrawn.
+func (a *attempts) start(now time.Time, token string) (until time.Time, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, ok := a.started[token]; !ok {
-		return ErrWithdrawn
+	one := a.all[token]
+	if one == nil {
+		return until, ErrWithdrawn
+	}
+	if one.permit != nil {
+		isPermitted := false
+		if until, isPermitted = one.permit(now); !isPermitted {
+			return until, ErrWithdrawn
+		}
 	}
-	a.started[token] = true
-	return nil
+	one.started = true
+	return until, nil
 }
 
 // withdraw ends an attempt and reports whether it may have been sent.
 func (a *attempts) withdraw(token string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	started := a.started[token]
-	delete(a.started, token)
-	return started
+	one := a.all[token]
+	delete(a.all, token)
+	return one != nil && one.started
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -104,13 +104,11 @@
 	}
 	r := p.Request
 	r.Upstream = upstream
-	if isLocal {
-		r.Slot = disp.AnySlot
-	}
+	r.Free = isLocal
 	r.Token = newToken()
 	r.Age = p.age(time.Now())
 	r.Left = time.Until(p.deadline) - replyMargin
-	h.attempts.open(r.Token)
+	h.attempts.open(r.Token, nil)
 	if host == h.settings.Name {
 		outcome := h.disps.Run(ctx, r)
 		h.attempts.withdraw(r.Token)
@@ -140,10 +138,7 @@
 	r.Left = time.Until(p.deadline) - replyMargin
 	outcome, err := peer.Call[disp.Outcome](ctx, h.hub, via, "detour", r)
 	if err != nil {
-		return disp.Outcome{
-			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
-			Reason: "the link to the host in between was lost",
-		}
+		return linkLost("the link to the host in between was lost")
 	}
 	return outcome
 }
@@ -182,28 +177,34 @@
 // tryRemote makes an attempt through another host's dispatcher.
 func (h *Host) tryRemote(ctx context.Context, p *parsed, host string, r disp.Request) disp.Outcome {
 	h.stats.Forwarded.Add(1)
-	outcome, err := h.hop.run(ctx, host, r)
-	started := h.attempts.withdraw(r.Token)
+	outcome, isNoted, err := h.runAt(ctx, host, r)
 	if err == nil {
 		p.clear(r, outcome)
-		if started {
-			h.noteOutcome(r, outcome)
-		}
-		return outcome
 	}
+	if err == nil && isNoted {
+		h.noteOutcome(r, outcome)
+	}
+	return outcome
+}
+
+// runAt has the dispatcher on another host carry out an attempt that is open here. With an error the
+// outcome says what the lost answer means; isNoted tells whether the attempt was started and noted here.
+func (h *Host) runAt(ctx context.Context, host string, r disp.Request) (outcome disp.Outcome, isNoted bool, err error) {
+	outcome, err = h.hop.run(ctx, host, r)
+	isNoted = h.attempts.withdraw(r.Token)
 	switch {
+	case err == nil:
+		return outcome, isNoted, nil
 	case r.Idempotent:
-		return disp.Outcome{
-			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
-			Reason: "the link to the dispatcher was lost",
-		}
-	case started:
-		return disp.Outcome{
-			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true,
-			Reason: "the link to the dispatcher was lost after the request was sent",
-		}
+		return linkLost("the link to the dispatcher was lost"), isNoted, err
+	case isNoted:
+		return linkLost("the link to the dispatcher was lost after the request was sent"), isNoted, err
 	}
-	return unreachable()
+	return unreachable(), isNoted, err
+}
+
+func linkLost(reason string) disp.Outcome {
+	return disp.Outcome{Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Retry: true, Reason: reason}
 }
 
 // age is how long ago the caller sent the request for the first time. It grows while the request
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -58,6 +58,7 @@
 	hop         *hop
 	hopsIn      atomic.Int64 // requests of other hosts under way here
 	retries     *budget
+	told        *told
 	heard       *heard
 	stats       Stats
 	dispatch    disp.Stats
@@ -85,6 +86,7 @@
 		book:        disp.NewBook(),
 		attempts:    newAttempts(),
 		retries:     newBudget(),
+		told:        newTold(),
 		heard:       newHeard(),
 		leaving:     make(chan struct{}),
 		began:       now,
@@ -108,7 +110,7 @@
 	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), h.sources(), &reporter{h}, clock)
 	h.disps = disp.NewSet(h.feed, h.incarnation, disp.Deps{
 		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Witness: witness{h}, Historian: h,
-		Control: h, Book: h.book, Stats: &h.dispatch,
+		Offloader: h, Control: h, Book: h.book, Stats: &h.dispatch,
 	})
 	h.serveHosts()
 	return h, nil
--- a/internal/entry/oper.go
+++ b/internal/entry/oper.go
@@ -114,6 +114,7 @@
 		"crossed":      h.dispatch.Crossed.Load(),
 		"refused":      h.dispatch.Refused.Load(),
 		"joined":       h.dispatch.Joined.Load(),
+		"offloaded":    h.dispatch.Offloaded.Load(),
 	}
 }
 
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -18,6 +18,11 @@
 	Note  disp.Note `json:"note"`
 }
 
+// startReply lets an attempt be sent for a while, or without a bound if that is zero.
+type startReply struct {
+	Left time.Duration `json:"left,omitempty"`
+}
+
 // historyArgs asks for what a host knows of earlier requests.
 type historyArgs struct {
 	Upstream string `json:"upstream"`
@@ -52,21 +57,29 @@
 
 // Start asks the entry host of a request before it is sent. With the dispatcher on the entry host
 // itself, another host notes the start, so that no single loss hides it.
-func (h witness) Start(ctx context.Context, r disp.Request) (string, error) {
+func (h witness) Start(ctx context.Context, r disp.Request) (disp.Noted, error) {
+	now := time.Now()
 	if r.Origin != h.settings.Name {
-		_, err := callSoon[bool](ctx, h.hub, r.Origin, "start", startArgs{Token: r.Token, Note: disp.NoteOf(r)})
-		return r.Origin, err
+		reply, err := callSoon[startReply](ctx, h.hub, r.Origin, "start", startArgs{Token: r.Token, Note: disp.NoteOf(r)})
+		noted := disp.Noted{By: r.Origin}
+		if reply.Left > 0 {
+			noted.Until = now.Add(reply.Left)
+		}
+		return noted, err
 	}
-	if err := h.attempts.start(r.Token); err != nil {
-		return "", err
+	until, err := h.attempts.start(now, r.Token)
+	noted := disp.Noted{Until: until}
+	if err != nil {
+		return noted, err
 	}
 	for _, host := range h.witnesses(r.ID) {
 		_, err := callSoon[bool](ctx, h.hub, host, "witness", disp.NoteOf(r))
 		if err == nil || ctx.Err() != nil {
-			return host, ctx.Err()
+			noted.By = host
+			return noted, ctx.Err()
 		}
 	}
-	return "", ctx.Err()
+	return noted, ctx.Err()
 }
 
 // callSoon bounds a call for which a request at the head of the queue waits.
@@ -102,18 +115,27 @@
 	h.book.Witness(time.Now(), note)
 }
 
+// serveStart lets another host's dispatcher send an attempt of this host, and notes it.
+func (h *Host) serveStart(_ context.Context, _ string, args startArgs) (startReply, error) {
+	now := time.Now()
+	until, err := h.attempts.start(now, args.Token)
+	if err != nil {
+		return startReply{}, err
+	}
+	h.book.Witness(now, args.Note)
+	if until.IsZero() {
+		return startReply{}, nil
+	}
+	return startReply{Left: max(until.Sub(now), 1)}, nil
+}
+
 // serveHosts answers the calls of other hosts' entry side and dispatchers.
 func (h *Host) serveHosts() {
 	peer.On(h.hub, "detour", h.serveDetour)
 	peer.On(h.hub, "early", h.serveEarly)
 	peer.On(h.hub, "zone", h.zoneLease.serveZone)
-	peer.On(h.hub, "start", func(_ context.Context, _ string, args startArgs) (bool, error) {
-		if err := h.attempts.start(args.Token); err != nil {
-			return false, err
-		}
-		h.book.Witness(time.Now(), args.Note)
-		return true, nil
-	})
+	peer.On(h.hub, "expect", h.serveExpect)
+	peer.On(h.hub, "start", h.serveStart)
 	peer.On(h.hub, "witness", func(_ context.Context, _ string, note disp.Note) (bool, error) {
 		h.book.Witness(time.Now(), note)
 		return true, nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,6 +26,7 @@
 	Keyed     bool
 	Work      time.Duration
 	Cold      time.Duration // after the start, work takes longer
+	ColdEvery int           // of so many upstreams one starts cold; all do if not given
 	ShedAbove int           // requests at a time above which work is refused; 0 means never
 }
 
@@ -134,7 +135,10 @@
 			settings := upsim.Settings{
 				ID: fmt.Sprintf("%s-%02d", group.Service, i+1), Service: group.Service, Zone: zone,
 				Address: address, Slots: group.Slots, Connections: 120, Checks: plan.Checks,
-				Keyed: group.Keyed, Work: group.Work, Cold: group.Cold, ShedAbove: group.ShedAbove, AnswerBytes: 2048, Entries: f.doors(zone),
+				Keyed: group.Keyed, Work: group.Work, ShedAbove: group.ShedAbove, AnswerBytes: 2048, Entries: f.doors(zone),
+			}
+			if i%max(group.ColdEvery, 1) == 0 {
+				settings.Cold = group.Cold
 			}
 			if plan.Naive {
 				settings.Entries = f.allDoors()
--- a/internal/fleet/flood_test.go
+++ b/internal/fleet/flood_test.go
@@ -124,9 +124,10 @@
 // Something fails amid a flood of the least urgent at 3 times the capacity: every promise holds, and the
 // ordinary callers get no less of their worth than from the naive router.
 func TestFailuresInFlood(t *testing.T) {
-	shedding, cold := smallSetup(), smallSetup()
+	shedding, cold, half := smallSetup(), smallSetup(), smallSetup()
 	shedding.groups[0].ShedAbove = 1
 	cold.groups[0].Cold = 4 * time.Second
+	half.groups[0].Cold, half.groups[0].ColdEvery = 4*time.Second, 2
 	for _, one := range []struct {
 		name   string
 		setup  setup
@@ -134,6 +135,7 @@
 	}{
 		{"upstreams-shed", shedding, unharmed},
 		{"upstreams-cold", cold, unharmed},
+		{"upstreams-half-cold", half, unharmed},
 		{"upstream-slow", smallSetup(), func(sc *scene) {
 			sc.Upstream("plan-02").Misbehave(upsim.Faults{Late: 300 * time.Millisecond})
 		}},
