Place slots by what each upstream can do

Cause: slots were balanced by the number of requests alone. An upstream that had become slow kept as many keys as any other, and one with fewer slots was given as much as one with many; only their owners can serve keys, so nothing else helps those callers. Besides, slots whose next owner had gone all went to one and the same upstream.

Ruled out: moving by queue length, which the hottest keys dominate wherever they are.

Change: a dispatcher reports with the loads how long its upstream takes for a request. One that takes more than 1.5 times the median of its service counts as slower, at least a sixteenth; slots count in proportion; a report is kept for a minute. place.Fill and Planner.Balance take owners with a speed.

--- a/internal/ctrl/leader.go
+++ b/internal/ctrl/leader.go
@@ -198,7 +198,7 @@
 	for _, id := range beat.Idle {
 		l.idle[id] = true
 	}
-	l.loads.add(beat.Loads)
+	l.loads.add(now, beat.Loads)
 }
 
 func (l *Leader) handlePropose(_ context.Context, _ string, args Proposal) (ProposalReply, error) {
--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -213,16 +214,16 @@
 }
 
 // candidates lists the upstreams of a service that can be given slots now.
-func (l *Leader) candidates(now time.Time, s *state.State, service string) []string {
-	var ids []string
+func (l *Leader) candidates(now time.Time, s *state.State, service string) []place.Owner {
+	var able []capable
 	for _, id := range sortedKeys(s.Upstreams) {
 		u := s.Upstreams[id]
 		isReached := now.Sub(l.reached[id]) < reachPeriod
 		if s.CanOwn(id, service) && hasDispatcher(s, u) && isReached && !l.draining[id] {
-			ids = append(ids, id)
+			able = append(able, capable{id, u.Slots})
 		}
 	}
-	return ids
+	return l.loads.speeds(now, able)
 }
 
 // planFill gives slots without an owner to upstreams. Slots of a service without keys stand for no
@@ -274,7 +275,7 @@
 				owners[i] = ""
 			}
 		}
-		others := slices.DeleteFunc(l.candidates(now, s, u.Service), func(id string) bool { return id == lost })
+		others := slices.DeleteFunc(l.candidates(now, s, u.Service), func(o place.Owner) bool { return o.Name == lost })
 		for _, move := range place.Fill(owners, l.loads.of(u.Service, len(owners)), others) {
 			if table.Slots[move.Slot].Owner == lost {
 				assigns = append(assigns, state.Assign{Service: u.Service, Slot: move.Slot, Owner: move.To})
@@ -295,16 +296,25 @@
 			if table == nil || one.Slot < 0 || one.Slot >= len(table.Slots) || table.Slots[one.Slot].Epoch != one.Epoch {
 				continue
 			}
-			owner := table.Slots[one.Slot].Next
-			if candidates := l.candidates(now, s, one.Service); !slices.Contains(candidates, owner) {
-				owner = place.Best(one.Service, candidates)
-			}
+			owner := heirOf(one, table.Slots[one.Slot].Next, l.candidates(now, s, one.Service))
 			assigns = append(assigns, state.Assign{Service: one.Service, Slot: one.Slot, Epoch: one.Epoch, Owner: owner})
 		}
 	})
 	return assigns
 }
 
+// heirOf is the owner that a move leads to, or another one if that can't be given slots any more.
+func heirOf(one Released, next string, candidates []place.Owner) string {
+	names := make([]string, len(candidates))
+	for i, candidate := range candidates {
+		names[i] = candidate.Name
+	}
+	if slices.Contains(names, next) {
+		return next
+	}
+	return place.Best(fmt.Sprint(one.Service, one.Slot), names)
+}
+
 // planMoves empties draining upstreams at once and balances the rest now and then.
 func (l *Leader) planMoves(now time.Time, s *state.State) []state.Move {
 	var moves []state.Move
@@ -324,7 +334,7 @@
 	return moves
 }
 
-func (l *Leader) drainMoves(s *state.State, service string, candidates []string) []state.Move {
+func (l *Leader) drainMoves(s *state.State, service string, candidates []place.Owner) []state.Move {
 	table := s.Tables[service]
 	owners := ownersOf(table)
 	for i, owner := range owners {
@@ -342,7 +352,7 @@
 	return moves
 }
 
-func (l *Leader) balanceMoves(service string, table *state.Table, candidates []string) []state.Move {
+func (l *Leader) balanceMoves(service string, table *state.Table, candidates []place.Owner) []state.Move {
 	planner := place.Planner{Slack: balanceSlack, Budget: balanceBudget}
 	var moves []state.Move
 	for _, move := range planner.Balance(ownersOf(table), l.loads.of(service, len(table.Slots)), candidates) {
--- a/internal/ctrl/wire.go
+++ b/internal/ctrl/wire.go
@@ -35,9 +35,11 @@
 // SlotLoads is how many requests some slots of a service have had since the last report. Two lists of numbers
 // take a quarter of the bytes of a list of pairs by name.
 type SlotLoads struct {
-	Service string `json:"service"`
-	Slots   []int  `json:"slots"`
-	Counts  []int  `json:"counts"` // by the position of the slot in Slots
+	Service  string        `json:"service"`
+	Upstream string        `json:"upstream"`
+	Took     time.Duration `json:"took,omitempty"` // how long the upstream takes for a request, 0 if not known
+	Slots    []int         `json:"slots"`
+	Counts   []int         `json:"counts"` // by the position of the slot in Slots
 }
 
 // Add appends the count of a slot.
--- a/internal/disp/pace.go
+++ b/internal/disp/pace.go
@@ -46,6 +46,16 @@
 // isStale reports whether the estimate rests on old answers alone.
 func (p *pace) isStale(now time.Time) bool { return now.Sub(p.newest) > staleAfter }
 
+// took is how long a request takes by answers that are not old, or 0.
+func (d *Dispatcher) took(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pace.isStale(now) {
+		return 0
+	}
+	return d.pace.service
+}
+
 // shed takes in a refusal by an upstream that is overloaded.
 func (p *pace) shed(now time.Time) {
 	p.limit = max(p.limit/2, 1)
--- a/internal/disp/set.go
+++ b/internal/disp/set.go
@@ -186,7 +186,7 @@
 
 // loads are the requests of each slot since the last report.
 func (d *Dispatcher) loads() ctrl.SlotLoads {
-	loads := ctrl.SlotLoads{Service: d.upstream.Service}
+	loads := ctrl.SlotLoads{Service: d.upstream.Service, Upstream: d.upstream.ID, Took: d.took(time.Now())}
 	d.Counts(func(slot, count int) {
 		if slot != AnySlot {
 			loads.Add(slot, count)
--- a/internal/fleet/balance_test.go
+++ b/internal/fleet/balance_test.go
@@ -67,3 +67,23 @@
 		})
 	}
 }
+
+// An upstream that has become slow hands most of its slots to others.
+func TestSlowUpstreamOwnsLess(t *testing.T) {
+	in(t, func(t *testing.T) {
+		sc := open(t, gautengSetup())
+		sc.load(load.Gauteng(), 200, 40*time.Second)
+		sc.Upstream("plan-03").Misbehave(upsim.Faults{Late: 300 * time.Millisecond})
+		result := sc.judge()
+		owned := sc.Hosts[0].Status(time.Now()).Owned
+		t.Logf("slots: plan-03 %d, plan-04 %d", owned["plan-03"], owned["plan-04"])
+		if 3*owned["plan-03"] > owned["plan-04"] {
+			t.Errorf("the slow upstream has %d slots, another one %d", owned["plan-03"], owned["plan-04"])
+		}
+		for _, tally := range result.Tallies {
+			if tally.Unknown > 0 {
+				t.Errorf("%s: the outcome of %d is unknown", tally.Call.Name, tally.Unknown)
+			}
+		}
+	})
+}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -49,7 +49,7 @@
 			loads[i] = rapid.Float64Range(0, 100).Draw(t, "load")
 		}
 		before := spread(owners, loads, candidates)
-		moves := place.Planner{Slack: 0.2, Budget: 5}.Balance(owners, loads, candidates)
+		moves := place.Planner{Slack: 0.2, Budget: 5}.Balance(owners, loads, place.Alike(candidates...))
 		if len(moves) > 5 {
 			t.Fatalf("%d moves over the budget", len(moves))
 		}
@@ -65,6 +65,34 @@
 	})
 }
 
+// An owner that is faster or slower than others gets work in proportion, and a plan for equal speeds is the
+// plan without speeds.
+func TestSpeedsDecideShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := place.Alike(names(rapid.IntRange(2, 8).Draw(t, "candidates"))...)
+		total := 0.0
+		for i := range candidates {
+			candidates[i].Speed = rapid.Float64Range(0.1, 4).Draw(t, "speed")
+			total += candidates[i].Speed
+		}
+		const slots = 1000
+		owners, loads := make([]string, slots), make([]float64, slots)
+		for i := range loads {
+			loads[i] = 1
+		}
+		owned := make(map[string]float64)
+		for _, move := range place.Fill(owners, loads, candidates) {
+			owned[move.To]++
+		}
+		for _, candidate := range candidates {
+			fair := slots * candidate.Speed / total
+			if diff := owned[candidate.Name] - fair; diff < -float64(len(candidates)) || diff > float64(len(candidates)) {
+				t.Fatalf("%s has %f slots of a fair share of %f", candidate.Name, owned[candidate.Name], fair)
+			}
+		}
+	})
+}
+
 func TestFillGivesEverySlot(t *testing.T) {
 	is := is.New(t)
 	owners := make([]string, 100)
@@ -72,7 +100,7 @@
 	for i := range loads {
 		loads[i] = 1
 	}
-	moves := place.Fill(owners, loads, names(4))
+	moves := place.Fill(owners, loads, place.Alike(names(4)...))
 	is.Equal(len(moves), 100)
 	for _, move := range moves {
 		owners[move.Slot] = move.To
@@ -152,7 +180,7 @@
 		for b.Loop() {
 			owners = make([]string, slots)
 			moved = 0
-			for _, move := range place.Fill(owners, loads, candidates) {
+			for _, move := range place.Fill(owners, loads, place.Alike(candidates...)) {
 				owners[move.Slot] = move.To
 			}
 			for _, owner := range owners {
@@ -180,7 +208,7 @@
 				owners := make([]string, len(loads))
 				for b.Loop() {
 					owners = make([]string, len(loads))
-					for _, move := range place.Fill(owners, loads, candidates) {
+					for _, move := range place.Fill(owners, loads, place.Alike(candidates...)) {
 						owners[move.Slot] = move.To
 					}
 				}
--- a/pkg/place/plan.go
+++ b/pkg/place/plan.go
@@ -1,9 +1,6 @@
 package place
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // Move takes one slot from an owner to another.
 type Move struct {
@@ -20,97 +17,61 @@
 	Budget int
 }
 
-// Fill gives each slot without an owner to the owner with the least load.
-func Fill(owners []string, loads []float64, candidates []string) []Move {
+// Fill gives each slot without an owner to the candidate that carries the least for its speed.
+func Fill(owners []string, loads []float64, candidates []Owner) []Move {
 	if len(candidates) == 0 {
 		return nil
 	}
-	carried := sum(owners, loads, candidates)
+	b := newBurden(owners, loads, candidates)
 	var moves []Move
 	for _, slot := range heaviest(loads) {
 		if owners[slot] != "" {
 			continue
 		}
-		to := lightest(carried, candidates)
-		carried[to] += loads[slot]
-		moves = append(moves, Move{Slot: slot, To: to})
+		to := b.least(loads[slot])
+		b.add(to, loads[slot])
+		moves = append(moves, Move{Slot: slot, To: candidates[to].Name})
 	}
 	return moves
 }
 
-// Balance moves slots from the owner with the most load to the one with the least, as long as that
-// lowers the difference and an owner is outside the slack.
-func (p Planner) Balance(owners []string, loads []float64, candidates []string) []Move {
+// Balance moves slots from the candidate that carries the most for its speed to the one that carries the
+// least, as long as that lowers the most and a candidate is outside the slack.
+func (p Planner) Balance(owners []string, loads []float64, candidates []Owner) []Move {
 	if len(candidates) < 2 {
 		return nil
 	}
 	owners = slices.Clone(owners)
-	carried := sum(owners, loads, candidates)
-	mean := 0.0
-	for _, name := range candidates {
-		mean += carried[name]
-	}
-	mean /= float64(len(candidates))
+	b := newBurden(owners, loads, candidates)
 	order := heaviest(loads)
 	var moves []Move
 	for len(moves) < p.Budget {
-		move, ok := p.next(owners, loads, carried, candidates, mean, order)
+		from, to := b.most(), b.least(0)
+		slot, ok := p.next(owners, loads, b, order, from, to)
 		if !ok {
 			break
 		}
-		owners[move.Slot] = move.To
-		carried[move.From] -= loads[move.Slot]
-		carried[move.To] += loads[move.Slot]
+		move := Move{Slot: slot, From: candidates[from].Name, To: candidates[to].Name}
+		owners[slot] = move.To
+		b.add(from, -loads[slot])
+		b.add(to, loads[slot])
 		moves = append(moves, move)
 	}
 	return moves
 }
 
-// next picks the heaviest slot that fits into the gap between the two extreme owners.
-func (p Planner) next(owners []string, loads []float64, carried map[string]float64, candidates []string, mean float64, order []int) (Move, bool) {
-	from := slices.MaxFunc(candidates, func(a, b string) int {
-		return cmp.Or(cmp.Compare(carried[a], carried[b]), cmp.Compare(b, a))
-	})
-	to := lightest(carried, candidates)
-	isOver := carried[from] > mean*(1+p.Slack)
-	isUnder := carried[to] < mean*(1-p.Slack)
+// next picks the heaviest slot that fits into the gap between the two extreme candidates.
+func (p Planner) next(owners []string, loads []float64, b *burden, order []int, from, to int) (slot int, ok bool) {
+	mean := b.mean()
+	isOver := b.carried[from] > mean*(1+p.Slack)
+	isUnder := b.carried[to] < mean*(1-p.Slack)
 	if !isOver && !isUnder {
-		return Move{}, false
+		return 0, false
 	}
-	gap := carried[from] - carried[to]
 	for _, slot := range order {
-		if owners[slot] == from && loads[slot] < gap {
-			return Move{Slot: slot, From: from, To: to}, true
-		}
-	}
-	return Move{}, false
-}
-
-func sum(owners []string, loads []float64, candidates []string) map[string]float64 {
-	carried := make(map[string]float64, len(candidates))
-	for _, name := range candidates {
-		carried[name] = 0
-	}
-	for slot, owner := range owners {
-		if _, ok := carried[owner]; ok {
-			carried[owner] += loads[slot]
+		if owners[slot] == b.candidates[from].Name && b.with(to, loads[slot]) < b.carried[from] {
+			return slot, true
 		}
 	}
-	return carried
-}
-
-func lightest(carried map[string]float64, candidates []string) string {
-	return slices.MinFunc(candidates, func(a, b string) int {
-		return cmp.Or(cmp.Compare(carried[a], carried[b]), cmp.Compare(a, b))
-	})
-}
-
-// heaviest lists the slots by load, the heaviest first.
-func heaviest(loads []float64) []int {
-	order := make([]int, len(loads))
-	for i := range order {
-		order[i] = i
-	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(loads[b], loads[a]) })
-	return order
+	return 0, false
 }
