Remember outcomes by slot, for as long as is promised, within the memory at the target

Cause: the book of exclusive requests kept 100,000 records with their answers. - Refused requests counted until they were old, so that a flood of refusals pushed outcomes out within half a minute. - A resend that was older than outcomes are kept was run a second time. - A new dispatcher's question searched the whole book, 11 ms at 100,000 records; a lost zone at the target's size asks some 3,000 of them. - A host that restarted was sent the whole book of every other host, and one that left gave its book to a host that may have been the other one to know.

Ruled out: keeping answers on the dispatcher alone, by which its loss loses them too.

Change: records by slot; forgotten ones leave the order; the newest 48 MB of answers are kept and every outcome for 5 minutes, 600,000 at the most; a resend that may have been forgotten is told so and not run; each record names the other host that knows it, which decides what a host that restarts is sent and whom one that leaves hands it to.

Before and after: TestResendAfterOutcomeIsForgotten ran twice, now may-have-run.

--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -12,58 +12,46 @@
 // Limits of the book.
 const (
 	KeepOutcomes = 5 * time.Minute // how long the outcome of an exclusive request is remembered
-	maxRecords   = 100_000
+	maxRecords   = 600_000
+	maxAnswers   = 48 << 20 // bytes
+	leastSweep   = 1024     // forgotten records that are swept out of the order together
 )
 
-// Note is one record of the book on its way to another host.
-type Note struct {
-	Service string   `json:"service"`
-	Slot    int      `json:"slot"`
-	ID      string   `json:"id"`
-	Token   string   `json:"token"` // of the attempt that was started
-	Print   uint64   `json:"print"`
-	Outcome *Outcome `json:"outcome,omitempty"` // nil while it is not known
-	Running bool     `json:"running,omitempty"` // the host that tells of it has it under way
-}
-
-// NoteOf returns the note of a request that is being started.
-func NoteOf(r Request) Note {
-	return Note{Service: r.Service, Slot: r.Slot, ID: r.ID, Token: r.Token, Print: r.Print}
-}
+// UnsaidAge stands for the age of a request whose caller does not say when it was first sent.
+const UnsaidAge = 24 * time.Hour
 
 // Book remembers exclusive requests by id, so that a resend gets the first outcome. A record stands
 // for a request that this host dispatches, or that it has witnessed being started elsewhere.
 type Book struct {
-	mu      sync.Mutex
-	records map[noteKey]*record
-	order   []*record // by age
+	mu         sync.Mutex
+	slots      map[slotRef]map[string]*record // by request id
+	order      []*record                      // by age, with some that are forgotten
+	count      int                            // of records that are not
+	services   map[string]string              // so that all records share the names
+	answers    answers
+	maxRecords int
+	evicted    time.Time // when the newest of the records was noted that were forgotten for want of room
 }
 
-type noteKey struct {
+// slotRef names a slot of a service.
+type slotRef struct {
 	service string
-	id      string
-}
-
-// record is one request; done closes once the outcome is known.
-type record struct {
-	note    Note
-	noted   time.Time
-	running bool // a task on this host will settle it
-	settled bool
-	done    chan struct{}
+	slot    int
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{records: make(map[noteKey]*record)}
+	return &Book{
+		slots: make(map[slotRef]map[string]*record), services: make(map[string]string),
+		answers: answers{limit: maxAnswers}, maxRecords: maxRecords,
+	}
 }
 
 // begin enters a request, or returns the record of an earlier one with the same id.
 func (b *Book) begin(now time.Time, r Request) (*record, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := noteKey{r.Service, r.ID}
-	if known := b.records[key]; known != nil {
+	if known := b.get(r.Service, r.Slot, r.ID); known != nil {
 		return known, false
 	}
 	one := b.enter(now, NoteOf(r))
@@ -76,7 +64,7 @@
 func (b *Book) take(now time.Time, r Request) (*record, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	one := b.records[noteKey{r.Service, r.ID}]
+	one := b.get(r.Service, r.Slot, r.ID)
 	if one == nil {
 		one = b.enter(now, NoteOf(r))
 	}
@@ -87,28 +75,83 @@
 	return one, true
 }
 
+// isForgotten reports whether a request may have been in the book that is not in it any more: one whose
+// caller has sent it before the records that were forgotten.
+func (b *Book) isForgotten(now time.Time, r Request) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	isOld := r.Age >= KeepOutcomes && r.Age < UnsaidAge
+	return isOld || r.Age > 0 && !now.Add(-r.Age).After(b.evicted)
+}
+
+// get returns a record or nil; the lock is held.
+func (b *Book) get(service string, slot int, id string) *record {
+	return b.slots[slotRef{service, slot}][id]
+}
+
 // enter adds a record; the lock is held.
 func (b *Book) enter(now time.Time, note Note) *record {
-	one := &record{note: note, noted: now, done: make(chan struct{})}
-	b.records[noteKey{note.Service, note.ID}] = one
+	note.Service = b.nameOf(note.Service)
+	one := &record{note: note, noted: now}
+	ref := slotRef{note.Service, note.Slot}
+	if b.slots[ref] == nil {
+		b.slots[ref] = make(map[string]*record)
+	}
+	b.slots[ref][note.ID] = one
 	b.order = append(b.order, one)
+	b.count++
 	b.expire(now)
+	b.sweep()
 	return one
 }
 
+func (b *Book) nameOf(service string) string {
+	if name, ok := b.services[service]; ok {
+		return name
+	}
+	b.services[service] = service
+	return service
+}
+
+// remove takes a record out; the lock is held.
+func (b *Book) remove(one *record) {
+	if one.gone {
+		return
+	}
+	one.gone = true
+	b.count--
+	ref := slotRef{one.note.Service, one.note.Slot}
+	delete(b.slots[ref], one.note.ID)
+	if len(b.slots[ref]) == 0 {
+		delete(b.slots, ref)
+	}
+}
+
+// sweep drops the forgotten records from the order once they are many.
+func (b *Book) sweep() {
+	forgotten := len(b.order) - b.count
+	if forgotten < leastSweep || forgotten < b.count {
+		return
+	}
+	b.order = slices.DeleteFunc(b.order, func(one *record) bool { return one.gone })
+}
+
 // expire forgets records that are old or too many; running ones stay.
 func (b *Book) expire(now time.Time) {
 	for len(b.order) > 0 {
 		oldest := b.order[0]
-		isOld := now.Sub(oldest.noted) > KeepOutcomes || len(b.order) > maxRecords
-		if !isOld || oldest.running {
+		isOld := now.Sub(oldest.noted) > KeepOutcomes
+		isOver := b.count > b.maxRecords
+		switch {
+		case oldest.gone:
+		case !isOld && !isOver || oldest.running:
 			return
+		case !isOld:
+			b.evicted = oldest.noted
 		}
+		b.remove(oldest)
+		b.order[0] = nil
 		b.order = b.order[1:]
-		key := noteKey{oldest.note.Service, oldest.note.ID}
-		if b.records[key] == oldest {
-			delete(b.records, key)
-		}
 	}
 }
 
@@ -117,10 +160,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	one.running = false
+	b.settle(one, outcome)
+}
+
+// settle gives a record its outcome; the lock is held.
+func (b *Book) settle(one *record, outcome Outcome) {
 	if outcome.Verdict == verd.NotRun {
-		delete(b.records, noteKey{one.note.Service, one.note.ID})
+		b.remove(one)
+	}
+	if one.settled {
+		return
 	}
 	one.settle(outcome)
+	if !one.gone {
+		b.answers.keep(one)
+	}
 }
 
 // drop answers those who wait for a record that stands for nothing started here, and forgets it.
@@ -128,17 +182,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	one.running = false
-	delete(b.records, noteKey{one.note.Service, one.note.ID})
+	b.remove(one)
 	one.settle(outcome)
 }
 
-func (one *record) settle(outcome Outcome) {
-	if one.settled {
-		return
-	}
-	one.settled = true
-	one.note.Outcome = &outcome
-	close(one.done)
+// done returns a channel that closes once the outcome of a record is known.
+func (b *Book) done(one *record) <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return one.wait()
 }
 
 // outcome returns the settled outcome as an answer to a resend.
@@ -153,65 +205,104 @@
 	return outcome
 }
 
-// Witness notes that a request is about to be started elsewhere, or how it ended there.
-func (b *Book) Witness(now time.Time, note Note) {
+// Witness notes that a request is about to be started elsewhere, or how it ended there; other is the host
+// that tells of it.
+func (b *Book) Witness(now time.Time, other string, note Note) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known := b.records[noteKey{note.Service, note.ID}]
+	known := b.get(note.Service, note.Slot, note.ID)
 	if known == nil {
-		known = b.enter(now, note)
-		known.note.Outcome = nil
-		known.note.Running = false
+		started := note
+		started.Outcome, started.Running = nil, false
+		known = b.enter(now, started)
 	}
-	if note.Outcome == nil || known.running {
-		return
+	if other != "" {
+		known.other = other
+	}
+	if note.Outcome != nil && !known.running {
+		b.settle(known, *note.Outcome)
 	}
-	if note.Outcome.Verdict == verd.NotRun {
-		delete(b.records, noteKey{note.Service, note.ID})
+}
+
+// share notes which other host knows of a request.
+func (b *Book) share(r Request, other string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if one := b.get(r.Service, r.Slot, r.ID); one != nil && other != "" {
+		one.other = other
+	}
+}
+
+// Import takes in what another host knows of slots; a start without an outcome counts as one that may have
+// run. The hosts that knew of a request before go on to be the two that keep it.
+func (b *Book) Import(now time.Time, notes []Note) {
+	for _, note := range notes {
+		b.Witness(now, "", note)
+	}
+}
+
+// Restore takes in records that this host keeps together with another one.
+func (b *Book) Restore(now time.Time, other string, notes []Note) {
+	for _, note := range notes {
+		b.Witness(now, other, note)
+	}
+}
+
+// Reshare notes that another host has taken over what this one kept together with one that leaves.
+func (b *Book) Reshare(leaving, heir string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, one := range b.order {
+		if one.other == leaving {
+			one.other = heir
+		}
 	}
-	known.settle(*note.Outcome)
 }
 
 // Export lists what the book knows of some slots of a service.
 func (b *Book) Export(service string, slots []int) []Note {
-	wanted := make(map[int]bool, len(slots))
-	for _, slot := range slots {
-		wanted[slot] = true
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var notes []Note
-	for _, one := range b.records {
-		if one.note.Service == service && wanted[one.note.Slot] {
+	for _, slot := range slots {
+		for _, one := range b.slots[slotRef{service, slot}] {
 			notes = append(notes, one.told())
 		}
 	}
 	return notes
 }
 
-// ExportAll lists all that the book knows.
-func (b *Book) ExportAll() []Note {
+// Shared lists what the book knows by the host that knows of it too; "" stands for a host not known.
+func (b *Book) Shared() map[string][]Note {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	notes := make([]Note, 0, len(b.records))
-	for _, one := range b.records {
-		notes = append(notes, one.told())
+	notes := make(map[string][]Note)
+	for _, one := range b.order {
+		if !one.gone {
+			notes[one.other] = append(notes[one.other], one.told())
+		}
 	}
 	return notes
 }
 
-// told is the record as another host is told of it.
-func (one *record) told() Note {
-	note := one.note
-	note.Running = one.running
-	return note
+// SharedWith lists what the book knows together with another host.
+func (b *Book) SharedWith(other string) []Note {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var notes []Note
+	for _, one := range b.order {
+		if !one.gone && one.other == other {
+			notes = append(notes, one.told())
+		}
+	}
+	return notes
 }
 
 // Find returns what the book knows of one request.
-func (b *Book) Find(service, id string) (Note, bool) {
+func (b *Book) Find(service string, slot int, id string) (Note, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	one := b.records[noteKey{service, id}]
+	one := b.get(service, slot, id)
 	if one == nil {
 		return Note{}, false
 	}
@@ -222,9 +313,8 @@
 func (b *Book) forget(one *record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := noteKey{one.note.Service, one.note.ID}
-	if b.records[key] == one && !one.running && !one.settled {
-		delete(b.records, key)
+	if !one.running && !one.settled {
+		b.remove(one)
 	}
 }
 
@@ -242,16 +332,9 @@
 	return !one.running && !one.settled
 }
 
-// Import takes in what other hosts know; a start without an outcome counts as one that may have run.
-func (b *Book) Import(now time.Time, notes []Note) {
-	for _, note := range notes {
-		b.Witness(now, note)
-	}
-}
-
 // Len returns the number of records.
 func (b *Book) Len() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.records)
+	return b.count
 }
--- a/internal/disp/learn.go
+++ b/internal/disp/learn.go
@@ -20,7 +20,7 @@
 // dispatcher of the upstream first, so that nothing is started behind the answer.
 type Historian interface {
 	Collect(ctx context.Context, upstream string, epoch uint64, service string, slots []int) History
-	Find(ctx context.Context, service, id string) History
+	Find(ctx context.Context, r Request) History
 }
 
 // tolerated is how many hosts can miss: each started request is known to two.
--- a/internal/disp/offload.go
+++ b/internal/disp/offload.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return notRun(reasonWithdrawn), true
 	}
+	d.Book.share(r, noted.By)
 	outcome := d.Offloader.Offload(ctx, target, r, d.permitOf(s))
 	if outcome.Verdict == verd.NotRun {
 		return Outcome{}, false
@@ -73,7 +74,7 @@
 func (d *Dispatcher) findOutcome(ctx context.Context, r Request, lost Outcome) Outcome {
 	for ctx.Err() == nil {
 		isRunning := false
-		for _, note := range d.Historian.Find(ctx, r.Service, r.ID).Notes {
+		for _, note := range d.Historian.Find(ctx, r).Notes {
 			if note.Outcome != nil {
 				return *note.Outcome
 			}
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -66,9 +66,10 @@
 		return unknown("a zone that is cut off may have run an earlier attempt")
 	}
 	for {
-		one, isFirst := d.Book.begin(time.Now(), r)
-		if isFirst && s.mayHide(time.Now(), r) {
-			outcome := unknown("the hosts that knew of earlier attempts are lost")
+		now := time.Now()
+		one, isFirst := d.Book.begin(now, r)
+		if reason := d.doubt(now, s, r); isFirst && reason != "" {
+			outcome := unknown(reason)
 			d.Book.drop(one, outcome)
 			return outcome
 		}
@@ -83,13 +84,24 @@
 	}
 }
 
+// doubt says why a request that the book does not know may have been started all the same, or "".
+func (d *Dispatcher) doubt(now time.Time, s *share, r Request) string {
+	switch {
+	case s.mayHide(now, r):
+		return "the hosts that knew of earlier attempts are lost"
+	case d.Book.isForgotten(now, r):
+		return "an earlier attempt would be forgotten by now"
+	}
+	return ""
+}
+
 // trace looks for an earlier attempt of a resent request in the books of all hosts, since a zone that
 // was cut off may have served it. It reports false when a host that is needed has not answered.
 func (d *Dispatcher) trace(ctx context.Context, r Request) bool {
-	if _, known := d.Book.Find(r.Service, r.ID); known {
+	if _, known := d.Book.Find(r.Service, r.Slot, r.ID); known {
 		return true
 	}
-	history := d.Historian.Find(ctx, r.Service, r.ID)
+	history := d.Historian.Find(ctx, r)
 	d.Book.Import(time.Now(), history.Notes)
 	return len(history.Notes) > 0 || history.Missing <= tolerated && !history.ZoneMissing
 }
@@ -120,7 +132,7 @@
 // awaitOutcome waits until a record that a task on this host settles is settled.
 func (d *Dispatcher) awaitOutcome(ctx context.Context, one *record, r Request) Outcome {
 	select {
-	case <-one.done:
+	case <-d.Book.done(one):
 		return d.Book.outcome(one, r)
 	case <-ctx.Done():
 		return unknown("an earlier request of this id is still under way")
@@ -131,7 +143,7 @@
 // as one still has it under way. A request that has not run is forgotten by the hosts that noted it.
 func (d *Dispatcher) search(ctx context.Context, one *record, r Request) History {
 	for {
-		history := d.Historian.Find(ctx, r.Service, r.ID)
+		history := d.Historian.Find(ctx, r)
 		d.Book.Import(time.Now(), history.Notes)
 		isRunning := slices.ContainsFunc(history.Notes, func(note Note) bool { return note.Running })
 		if !isRunning || !d.Book.isOpen(one) || ctx.Err() != nil {
@@ -161,6 +173,7 @@
 	if err != nil {
 		return notRun(reasonWithdrawn)
 	}
+	d.Book.share(r, noted.By)
 	vigil := d.watch(time.Now(), place.free)
 	defer vigil.end()
 	outcome := d.sendStarted(ctx, s, r, noted.Until)
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -28,9 +28,6 @@
 	headerReason   = "Lovagelink-Reason"
 )
 
-// maxAge stands for a request whose caller does not say when it was first sent.
-const maxAge = 24 * time.Hour
-
 // hopHeaders belong to one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -138,8 +135,8 @@
 		return 0
 	}
 	age, err := strconv.ParseInt(header.Get(headerAge), 10, 64)
-	if err != nil || age < 0 || age > maxAge.Milliseconds() {
-		return maxAge
+	if err != nil || age < 0 || age >= disp.UnsaidAge.Milliseconds() {
+		return disp.UnsaidAge
 	}
 	return max(time.Duration(age)*time.Millisecond, time.Millisecond)
 }
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -40,6 +40,7 @@
 // traceArgs asks whether a host knows of a request.
 type traceArgs struct {
 	Service string `json:"service"`
+	Slot    int    `json:"slot"`
 	ID      string `json:"id"`
 }
 
@@ -112,17 +113,17 @@
 func (h *Host) noteOutcome(r disp.Request, outcome disp.Outcome) {
 	note := disp.NoteOf(r)
 	note.Outcome = &outcome
-	h.book.Witness(time.Now(), note)
+	h.book.Witness(time.Now(), "", note)
 }
 
 // serveStart lets another host's dispatcher send an attempt of this host, and notes it.
-func (h *Host) serveStart(_ context.Context, _ string, args startArgs) (startReply, error) {
+func (h *Host) serveStart(_ context.Context, from string, args startArgs) (startReply, error) {
 	now := time.Now()
 	until, err := h.attempts.start(now, args.Token)
 	if err != nil {
 		return startReply{}, err
 	}
-	h.book.Witness(now, args.Note)
+	h.book.Witness(now, from, args.Note)
 	if until.IsZero() {
 		return startReply{}, nil
 	}
@@ -136,8 +137,8 @@
 	peer.On(h.hub, "zone", h.zoneLease.serveZone)
 	peer.On(h.hub, "expect", h.serveExpect)
 	peer.On(h.hub, "start", h.serveStart)
-	peer.On(h.hub, "witness", func(_ context.Context, _ string, note disp.Note) (bool, error) {
-		h.book.Witness(time.Now(), note)
+	peer.On(h.hub, "witness", func(_ context.Context, from string, note disp.Note) (bool, error) {
+		h.book.Witness(time.Now(), from, note)
 		return true, nil
 	})
 	peer.On(h.hub, "history", func(_ context.Context, _ string, args historyArgs) (historyReply, error) {
@@ -145,15 +146,19 @@
 		notes := h.book.Export(args.Service, args.Slots)
 		return historyReply{Notes: notes, Young: h.isYoung(time.Now())}, nil
 	})
-	peer.On(h.hub, "book", func(context.Context, string, struct{}) (historyReply, error) {
-		return historyReply{Notes: h.book.ExportAll(), Young: h.isYoung(time.Now())}, nil
+	peer.On(h.hub, "book", func(_ context.Context, from string, _ struct{}) (historyReply, error) {
+		return historyReply{Notes: h.book.SharedWith(from), Young: h.isYoung(time.Now())}, nil
 	})
-	peer.On(h.hub, "inherit", func(_ context.Context, _ string, notes []disp.Note) (bool, error) {
-		h.book.Import(time.Now(), notes)
+	peer.On(h.hub, "inherit", func(_ context.Context, _ string, args inheritArgs) (bool, error) {
+		h.book.Restore(time.Now(), args.Other, args.Notes)
+		return true, nil
+	})
+	peer.On(h.hub, "reshare", func(_ context.Context, from, heir string) (bool, error) {
+		h.book.Reshare(from, heir)
 		return true, nil
 	})
 	peer.On(h.hub, "trace", func(_ context.Context, _ string, args traceArgs) (traceReply, error) {
-		note, known := h.book.Find(args.Service, args.ID)
+		note, known := h.book.Find(args.Service, args.Slot, args.ID)
 		return traceReply{Known: known, Young: h.isYoung(time.Now()), Note: note}, nil
 	})
 }
--- a/internal/fleet/resend_test.go
+++ b/internal/fleet/resend_test.go
@@ -139,3 +139,17 @@
 		is.Equal(len(sc.Ledger.Runs()), 1)
 	})
 }
+
+// A resend of which the first outcome is no longer remembered is not run again.
+func TestResendAfterOutcomeIsForgotten(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		sc := open(t, smallSetup())
+		entry := sc.Settings[0].Callers
+		is.Equal(sc.post(entry, "wall-1", "r1", 1, 0), verd.Ran.String())
+		time.Sleep(6 * time.Minute)
+		is.Equal(sc.post(entry, "wall-1", "r2", 1, 0), verd.Ran.String())
+		is.Equal(sc.post(entry, "wall-1", "r1", 2, 6*time.Minute), verd.MayHaveRun.String())
+		is.Equal(upsim.Examine(sc.Ledger.Runs()).ByID["r1"], 1)
+	})
+}
