Measure requests by rank, and say what each metric means

Cause: the metrics had no descriptions and told nothing by rank, so that the measure that users go by, service by rank, could not be scraped. A drain whose answer was lost was called "not run", though it may have been taken.

Change: one list of counters and one of gauges with their meaning; a histogram of request times by rank and verdict; the version in force; no labels of the library's scope. A drain without an answer may have run.

--- a/internal/entry/doors.go
+++ b/internal/entry/doors.go
@@ -24,11 +24,7 @@
 	if err := h.openForward(); err != nil {
 		return trace.Wrap(err, "address for forwarded requests; is another process using it?")
 	}
-	operators, err := h.operatorMux()
-	if err != nil {
-		return trace.Wrap(err, "metrics")
-	}
-	if err := h.open(h.settings.Operators, operators); err != nil {
+	if err := h.open(h.settings.Operators, h.operatorMux()); err != nil {
 		return trace.Wrap(err, "address for operators; is another process using it?")
 	}
 	listener, err := h.network.Listen(h.settings.Callers)
@@ -62,10 +58,12 @@
 	return nil
 }
 
-func (h *Host) hasConfig() bool {
-	has := false
-	h.feed.Read(func(s *state.State) { has = s.Version > 0 })
-	return has
+func (h *Host) hasConfig() bool { return h.configVersion() > 0 }
+
+func (h *Host) configVersion() uint64 {
+	version := uint64(0)
+	h.feed.Read(func(s *state.State) { version = s.Version })
+	return version
 }
 
 func (h *Host) isLeaving() bool {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -39,6 +39,7 @@
 	disp.Request
 	isFirst  bool      // the caller has not sent the request before, as it says or since the id is new
 	isDetour bool      // another entry host has sent it here
+	rank     string    // by name
 	sentAt   time.Time // when the caller sent the request for the first time
 	deadline time.Time
 
@@ -60,7 +61,7 @@
 	if fault == nil {
 		if outcome, isRefused := h.refusedEarly(now, request, p); isRefused {
 			w.Header().Set("Connection", "close")
-			h.answer(w, p, outcome)
+			h.answer(w, now, p, outcome)
 			return
 		}
 		fault = readBody(w, request, p)
@@ -70,11 +71,13 @@
 		writeFault(w, fault)
 		return
 	}
-	h.answer(w, p, h.forward(request.Context(), p))
+	h.answer(w, now, p, h.forward(request.Context(), p))
 }
 
-func (h *Host) answer(w http.ResponseWriter, p *parsed, outcome disp.Outcome) {
+// answer answers a request that came in at a time.
+func (h *Host) answer(w http.ResponseWriter, came time.Time, p *parsed, outcome disp.Outcome) {
 	h.stats.count(outcome.Verdict)
+	h.metrics.answered(p.rank, outcome.Verdict, time.Since(came))
 	writeOutcome(w, p, outcome)
 }
 
@@ -118,7 +121,7 @@
 		return nil, fault
 	}
 	rank := s.Config.RankOf(rule.Rank)
-	p := &parsed{isFirst: isFirst, deadline: now.Add(rule.Deadline - answerMargin)}
+	p := &parsed{isFirst: isFirst, rank: rule.Rank, deadline: now.Add(rule.Deadline - answerMargin)}
 	p.sentAt = now.Add(-ageOf(request.Header, p.isFirst))
 	p.Request = disp.Request{
 		Service: service.Name, Key: key, Slot: place.Slot(key, service.Slots), ID: id,
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -62,6 +62,7 @@
 	heard       *heard
 	stats       Stats
 	dispatch    disp.Stats
+	metrics     *metrics
 	tomb        tomb.Tomb
 	leaving     chan struct{}
 	began       time.Time
@@ -113,6 +114,11 @@
 		Offloader: h, Control: h, Book: h.book, Stats: &h.dispatch,
 	})
 	h.serveHosts()
+	metrics, err := newMetrics(h)
+	if err != nil {
+		return nil, trace.Wrap(err, "metrics")
+	}
+	h.metrics = metrics
 	return h, nil
 }
 
--- a/internal/entry/oper.go
+++ b/internal/entry/oper.go
@@ -39,13 +39,9 @@
 }
 
 // operatorMux serves operators; it listens on an address of its own, out of callers' reach.
-func (h *Host) operatorMux() (http.Handler, error) {
-	metrics, err := h.metricsHandler()
-	if err != nil {
-		return nil, err
-	}
+func (h *Host) operatorMux() http.Handler {
 	mux := goji.NewMux()
-	mux.Handle(pat.Get("/metrics"), metrics)
+	mux.Handle(pat.Get("/metrics"), h.metrics.handler)
 	mux.HandleFunc(pat.Get("/status"), func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, h.Status(time.Now()))
 	})
@@ -56,7 +52,7 @@
 	mux.HandleFunc(pat.Post("/config"), h.serveAccept)
 	mux.HandleFunc(pat.Get("/progress"), h.serveProgress)
 	mux.HandleFunc(pat.Post("/drain/:upstream"), h.serveDrain)
-	return mux, nil
+	return mux
 }
 
 // Status returns what the host knows at present.
@@ -101,21 +97,13 @@
 	}
 }
 
+// counts reads all counters.
 func (h *Host) counts() map[string]int64 {
-	return map[string]int64{
-		"requests":     h.stats.Requests.Load(),
-		"faulty":       h.stats.Faulty.Load(),
-		"ran":          h.stats.Ran.Load(),
-		"not-run":      h.stats.NotRun.Load(),
-		"may-have-run": h.stats.MayHaveRun.Load(),
-		"forwarded":    h.stats.Forwarded.Load(),
-		"sent":         h.dispatch.Sent.Load(),
-		"failed":       h.dispatch.Failed.Load(),
-		"crossed":      h.dispatch.Crossed.Load(),
-		"refused":      h.dispatch.Refused.Load(),
-		"joined":       h.dispatch.Joined.Load(),
-		"offloaded":    h.dispatch.Offloaded.Load(),
+	all := make(map[string]int64, len(counts))
+	for _, one := range counts {
+		all[one.name] = one.read(h)
 	}
+	return all
 }
 
 // Shown is the accepted configuration.
@@ -224,7 +212,10 @@
 	}
 	reply, err := h.client.Propose(ctx, state.Command{Drain: &state.Drain{Upstream: id}})
 	if err != nil {
-		writeFault(w, notRun(http.StatusServiceUnavailable, "control", err.Error(), "try again"))
+		writeFault(w, &verd.Error{
+			Verdict: verd.MayHaveRun, Status: http.StatusBadGateway, Place: "upstream " + id,
+			Reason: err.Error(), Remedy: "look at lovagelink status, or drain it again",
+		})
 		return
 	}
 	writeJSON(w, ctrl.ProposalReply{OK: reply.OK, Index: reply.Index})
--- a/internal/fleet/upstream_test.go
+++ b/internal/fleet/upstream_test.go
@@ -85,3 +85,21 @@
 		is.Equal(len(sc.Ledger.Runs()), 0)
 	})
 }
+
+// What callers were answered is scraped by rank and verdict.
+func TestMetricsAreScraped(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		sc := open(t, smallSetup())
+		is.Equal(sc.post(sc.Settings[0].Callers, "wall-1", "r1", 1, 0), verd.Ran.String())
+		_, text := sc.send(sc.Settings[0].Operators, "GET", "/metrics", "", "")
+		for _, line := range []string{
+			"# HELP lovagelink_requests_total requests of callers that came in",
+			"lovagelink_requests_total 1",
+			`lovagelink_request_duration_seconds_count{rank="booking",verdict="ran"} 1`,
+			"lovagelink_config_version 1",
+		} {
+			is.True(strings.Contains(text, line))
+		}
+	})
+}
