--- a/cmd/lovagelink/process_test.go
+++ b/cmd/lovagelink/process_test.go
@@ -107,6 +107,38 @@
 		"--entries", address(hostPort(i%3, 1))+","+address(hostPort(3+i%3, 1)))
 }
 
+// hostNames are the hosts in the order of their ports.
+var hostNames = []string{"a1", "b1", "c1", "a2", "b2", "c2"}
+
+// startAll starts hosts and upstreams with an accepted configuration, and waits until they serve.
+func (s *system) startAll() {
+	s.t.Helper()
+	for _, name := range hostNames {
+		s.startHost(name)
+	}
+	s.accept()
+	for i, service := range []string{"plan", "plan", "plan", "commission", "commission", "commission"} {
+		s.startUpstream(i, service, string(rune('a'+i%3)))
+	}
+	s.await()
+}
+
+// accept has the hosts accept a configuration as soon as they can.
+func (s *system) accept() {
+	s.t.Helper()
+	config, err := filepath.Abs("../../examples/gauteng.yaml")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for range 50 {
+		if _, err := s.run("config", "--at", address(hostPort(0, 2)), "--request-id", "first", "accept", config); err == nil {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.t.Fatal("no configuration is accepted")
+}
+
 // await retries until a key of each upstream is served.
 func (s *system) await() {
 	for range 200 {
@@ -128,19 +160,31 @@
 	s.t.Fatal("the system does not serve")
 }
 
-// leader asks a host which one leads.
+// leader asks a host which one leads, until it knows of one that runs.
 func (s *system) leader(i int) string {
 	s.t.Helper()
+	for range 100 {
+		if name := s.leaderBy(i); s.running[name] != nil {
+			return name
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatal("no leader is known")
+	return ""
+}
+
+// leaderBy is the leader that a host knows, or "".
+func (s *system) leaderBy(i int) string {
 	response, err := http.Get("http://" + address(hostPort(i, 2)) + "/status")
 	if err != nil {
-		s.t.Fatal(err)
+		return ""
 	}
 	defer response.Body.Close()
 	var status struct {
 		Leader string `json:"leader"`
 	}
-	if err := json.NewDecoder(response.Body).Decode(&status); err != nil || s.running[status.Leader] == nil {
-		s.t.Fatalf("no leader is known: %v", err)
+	if json.NewDecoder(response.Body).Decode(&status) != nil {
+		return ""
 	}
 	return status.Leader
 }
@@ -186,29 +230,10 @@
 	s.checks = checks
 	out, err := s.run("settings", "--folder", "run", "--hosts", fmt.Sprint(testHosts), "--port", fmt.Sprint(firstPort))
 	is.NoErr(err)
-	names := []string{"a1", "b1", "c1", "a2", "b2", "c2"}
-	for _, name := range names {
-		s.startHost(name)
-	}
-	config, err := filepath.Abs("../../examples/gauteng.yaml")
-	is.NoErr(err)
-	for range 50 {
-		if out, err = s.run("config", "--at", address(hostPort(0, 2)), "--request-id", "first", "accept", config); err == nil {
-			break
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	is.NoErr(err) // the configuration is accepted
-	for i, service := range []string{"plan", "plan", "plan", "commission", "commission", "commission"} {
-		s.startUpstream(i, service, string(rune('a'+i%3)))
-	}
-	s.await()
-	var entries []netip.AddrPort
-	for i := range names {
-		entries = append(entries, netip.MustParseAddrPort(address(hostPort(i, 0))))
-	}
+	t.Log(out)
+	s.startAll()
 	runner := load.New(load.Settings{
-		Shape: load.Gauteng(), Rate: testRate, Period: 24 * time.Second, Entries: entries, Seed: 1,
+		Shape: load.Gauteng(), Rate: testRate, Period: 24 * time.Second, Entries: s.entries(), Seed: 1,
 	}, peer.TCP{})
 	done := make(chan *load.Result)
 	go func() { done <- runner.Run(context.Background()) }()
