Follow the state along a tree in each zone

Cause: all hosts of a zone followed one relay. At the target's 57 hosts in a zone that relay answers 56 others for each change, 6 % of a core at 10 changes a second where 2 % are allowed; and all relays followed the same replica.

Ruled out: batches of changes on the relay. They bound its cost, and make each takeover later by their length.

Change: a host follows the host above it in a tree of its zone, at most 4 follow the same one; the replicas of a zone are its roots, and each zone without one prefers another replica. Behind its parent a host prefers those above, then the replicas.

At today's size each zone is one level, as it was.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +20,6 @@
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/paxos"
-	"lovagelink.example/lovagelink/pkg/place"
 )
 
 // stopPatience bounds how long a stopping host waits for its requests to end.
@@ -108,7 +106,8 @@
 	clock := &event.Clock{}
 	h.line = event.NewLine(settings.Name, clock)
 	h.zoneLease = &zoneLease{host: h}
-	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, h.nearestReplicas(), h.sources(), &reporter{h}, clock)
+	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, replicasNear(settings.Zone, settings.Hosts),
+		sourcesOf(settings.Name, settings.Zone, settings.Hosts), &reporter{h}, clock)
 	h.disps = disp.NewSet(h.feed, h.incarnation, disp.Deps{
 		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Witness: witness{h}, Historian: h,
 		Offloader: h, Control: h, Book: h.book, Stats: &h.dispatch,
@@ -140,42 +139,6 @@
 	return nil
 }
 
-// sources lists whom this host follows, the preferred one first: a replica of the own zone, or the
-// zone's relay, so that the replicas do not serve every host of a large zone.
-func (h *Host) sources() []string {
-	replicas := h.nearestReplicas()
-	if len(replicas) > 0 && h.zones[replicas[0]] == h.settings.Zone {
-		return replicas
-	}
-	var near []string
-	for host, zone := range h.zones {
-		if zone == h.settings.Zone {
-			near = append(near, host)
-		}
-	}
-	relay := place.Best(h.settings.Zone, near)
-	if relay == h.settings.Name {
-		return replicas
-	}
-	return append([]string{relay}, replicas...)
-}
-
-// nearestReplicas lists the replicas, those of the own zone first.
-func (h *Host) nearestReplicas() []string {
-	replicas := h.settings.Replicas()
-	slices.SortStableFunc(replicas, func(a, b string) int {
-		return rankZone(h.zones[a], h.settings.Zone) - rankZone(h.zones[b], h.settings.Zone)
-	})
-	return replicas
-}
-
-func rankZone(zone, own string) int {
-	if zone == own {
-		return 0
-	}
-	return 1
-}
-
 // Start opens the addresses of the host and joins the others.
 func (h *Host) Start() error {
 	if err := h.hub.Start(); err != nil {
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -106,6 +107,36 @@
 	})
 }
 
+// In a large zone hosts follow one another; when one that others follow is lost, those follow the host above.
+func TestLargeZoneFollowsThroughLosses(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		s := smallSetup()
+		s.hosts, s.zones, s.replicas = 24, []string{"a", "b"}, 3
+		sc := open(t, s)
+		time.Sleep(10 * time.Second) // until every host follows its preferred source
+		others := slices.DeleteFunc(sc.namesIn("b"), func(name string) bool { return name == "b1" })
+		inner := place.Rank("b", others)[:2]
+		for _, name := range inner {
+			sc.kill(sc.hostNamed(name))
+		}
+		accepted, err := sc.accept(0, "during-loss", 1)
+		is.NoErr(err)
+		sc.awaitVersion(accepted.Version, func(host int) bool { return !sc.victims[host] })
+	})
+}
+
+// namesIn lists the hosts of a zone.
+func (sc *scene) namesIn(zone string) []string {
+	var names []string
+	for _, settings := range sc.Settings {
+		if settings.Zone == zone {
+			names = append(names, settings.Name)
+		}
+	}
+	return names
+}
+
 // A configuration is in force within the target while the leader is lost, and on a zone that was cut
 // off once it is back.
 func TestConfigThroughFailures(t *testing.T) {
