Send a restarted host its records in parts, and hand a stopped one's to another zone too

Cause: a host that restarted was sent its part of each book in one message, which must come within 200 ms; at today's size and some hundred requests a second that part is several MB, and the host stayed in doubt for 5 minutes. A host that was stopped handed its records to hosts of its zone alone: with two hosts in a zone the other one is who knows them already, so that one copy was left.

Change: parts of 500 records, told from by the records' numbers, for up to 3 s before callers are let in; heirs in other zones behind those of the own one.

Conclusion: a planned stop leaves every outcome with two hosts.

--- a/internal/disp/book.go
+++ b/internal/disp/book.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	slots      map[slotRef]map[string]*record // by request id
 	order      []*record                      // by age, with some that are forgotten
 	count      int                            // of records that are not
+	entered    uint64                         // records so far
 	services   map[string]string              // so that all records share the names
 	answers    answers
 	maxRecords int
@@ -92,7 +94,8 @@
 // enter adds a record; the lock is held.
 func (b *Book) enter(now time.Time, note Note) *record {
 	note.Service = b.nameOf(note.Service)
-	one := &record{note: note, noted: now}
+	b.entered++
+	one := &record{note: note, noted: now, number: b.entered}
 	ref := slotRef{note.Service, note.Slot}
 	if b.slots[ref] == nil {
 		b.slots[ref] = make(map[string]*record)
@@ -285,17 +288,22 @@
 	return notes
 }
 
-// SharedWith lists what the book knows together with another host.
-func (b *Book) SharedWith(other string) []Note {
+// SharedWith lists what the book knows together with another host, from behind a record on and at most so
+// many; next is the record to go on behind, or 0 when there are no more.
+func (b *Book) SharedWith(other string, after uint64, most int) (notes []Note, next uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var notes []Note
-	for _, one := range b.order {
-		if !one.gone && one.other == other {
-			notes = append(notes, one.told())
+	first := sort.Search(len(b.order), func(i int) bool { return b.order[i].number > after })
+	for _, one := range b.order[first:] {
+		if one.gone || one.other != other {
+			continue
+		}
+		notes = append(notes, one.told())
+		if len(notes) == most {
+			return notes, one.number
 		}
 	}
-	return notes
+	return notes, 0
 }
 
 // Find returns what the book knows of one request.
--- a/internal/disp/book_test.go
+++ b/internal/disp/book_test.go
@@ -150,3 +150,28 @@
 		}
 	}
 }
+
+// A host that restarts gets in parts all that another one has kept together with it, and nothing else.
+func TestSharedRecordsInParts(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	book := NewBook()
+	for i := range 25 {
+		book.Witness(now, fmt.Sprint("host-", i%2), Note{Service: "plan", ID: fmt.Sprint(i)})
+	}
+	var ids []string
+	for after := uint64(0); ; {
+		notes, next := book.SharedWith("host-1", after, 5)
+		is.True(len(notes) <= 5)
+		for _, note := range notes {
+			ids = append(ids, note.ID)
+		}
+		if after = next; next == 0 {
+			break
+		}
+	}
+	is.Equal(ids, []string{"1", "3", "5", "7", "9", "11", "13", "15", "17", "19", "21", "23"})
+	book.Reshare("host-1", "host-2")
+	notes, _ := book.SharedWith("host-2", 0, 100)
+	is.Equal(len(notes), 12)
+}
--- a/internal/disp/record.go
+++ b/internal/disp/record.go
@@ -27,6 +27,7 @@
 type record struct {
 	note    Note
 	noted   time.Time
+	number  uint64        // by age
 	other   string        // the host that knows of the request too
 	done    chan struct{} // closes once the outcome is known; made when somebody waits
 	running bool          // a task on this host will settle it
--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/disp"
@@ -44,24 +46,59 @@
 	return !isFirstLife
 }
 
+// bookBatch is how many records of the book go into one message.
+const bookBatch = 500
+
+// restoreTimeout bounds how long a host that starts waits for its part of the others' books.
+const restoreTimeout = 3 * time.Second
+
+// bookReply is a part of the records that a host has kept together with the one that asks.
+type bookReply struct {
+	Notes []disp.Note `json:"notes"`
+	Next  uint64      `json:"next"`  // to go on behind, or 0 at the end
+	Young bool        `json:"young"` // the host may have lost some of them by a restart
+}
+
 // restoreBook asks the other hosts for the exclusive requests that they knew together with this one, so that
 // each is known to two hosts again. It reports whether all of them have answered and lost nothing themselves:
 // what only this host and another one knew is gone if both were lost.
 func (h *Host) restoreBook(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
-	isWhole := true
-	for _, answer := range askAll[historyReply](ctx, h, "book", struct{}{}) {
-		if answer.err != nil || answer.value.Young {
-			isWhole = false
+	var isPartial atomic.Bool
+	var group sync.WaitGroup
+	for _, host := range h.hub.Hosts() {
+		group.Go(func() {
+			if !h.restoreFrom(ctx, host) {
+				isPartial.Store(true)
+			}
+		})
+	}
+	group.Wait()
+	return !isPartial.Load()
+}
+
+// restoreFrom fetches the records that one host has kept; it reports false if some of them are missing.
+func (h *Host) restoreFrom(ctx context.Context, host string) bool {
+	after := uint64(0)
+	for {
+		reply, err := h.fetchBook(ctx, host, after)
+		if err != nil {
+			return false
+		}
+		h.book.Restore(time.Now(), host, reply.Notes)
+		if reply.Next == 0 {
+			return !reply.Young
 		}
-		h.book.Restore(time.Now(), answer.host, answer.value.Notes)
+		after = reply.Next
 	}
-	return isWhole
 }
 
-// inheritBatch is how many records go into one message.
-const inheritBatch = 500
+func (h *Host) fetchBook(ctx context.Context, host string, after uint64) (bookReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return peer.Call[bookReply](ctx, h.hub, host, "book", after)
+}
 
 // inheritArgs are records of a host that leaves, which another host knows too.
 type inheritArgs struct {
@@ -72,7 +109,7 @@
 // handOverBook gives what this host knows of exclusive requests to hosts that do not know of them, so that
 // each goes on to be known to two.
 func (h *Host) handOverBook(ctx context.Context) {
-	heirs := h.witnesses(h.settings.Name)
+	heirs := append(h.witnesses(h.settings.Name), h.linked(func(host string) bool { return h.zones[host] != h.settings.Zone })...)
 	for other, notes := range h.book.Shared() {
 		for _, heir := range heirs {
 			if heir != other && h.handOver(ctx, heir, other, notes) == nil {
@@ -84,7 +121,7 @@
 
 // handOver gives records to one heir and tells the other host that knows them.
 func (h *Host) handOver(ctx context.Context, heir, other string, notes []disp.Note) error {
-	for batch := range slices.Chunk(notes, inheritBatch) {
+	for batch := range slices.Chunk(notes, bookBatch) {
 		if _, err := peer.Call[bool](ctx, h.hub, heir, "inherit", inheritArgs{Other: other, Notes: batch}); err != nil {
 			return err
 		}
--- a/internal/entry/witness.go
+++ b/internal/entry/witness.go
@@ -146,8 +146,9 @@
 		notes := h.book.Export(args.Service, args.Slots)
 		return historyReply{Notes: notes, Young: h.isYoung(time.Now())}, nil
 	})
-	peer.On(h.hub, "book", func(_ context.Context, from string, _ struct{}) (historyReply, error) {
-		return historyReply{Notes: h.book.SharedWith(from), Young: h.isYoung(time.Now())}, nil
+	peer.On(h.hub, "book", func(_ context.Context, from string, after uint64) (bookReply, error) {
+		notes, next := h.book.SharedWith(from, after, bookBatch)
+		return bookReply{Notes: notes, Next: next, Young: h.isYoung(time.Now())}, nil
 	})
 	peer.On(h.hub, "inherit", func(_ context.Context, _ string, args inheritArgs) (bool, error) {
 		h.book.Restore(time.Now(), args.Other, args.Notes)
--- a/internal/fleet/resend_test.go
+++ b/internal/fleet/resend_test.go
@@ -153,3 +153,26 @@
 		is.Equal(upsim.Examine(sc.Ledger.Runs()).ByID["r1"], 1)
 	})
 }
+
+// What a host knew that was stopped is known to two hosts again, whichever of the others is lost next.
+func TestResendAfterStopAndLoss(t *testing.T) {
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		s := smallSetup()
+		s.hosts = 6
+		sc := open(t, s)
+		time.Sleep(5 * time.Second)
+		key, host := sc.keyAt(func(i int) bool { return sc.zoneOf(i) == "c" })
+		is.Equal(sc.post(sc.Settings[host].Callers, key, "r1", 1, 0), verd.Ran.String())
+		sc.Hosts[host].Stop(context.Background())
+		sc.victims[host] = true
+		for i := range sc.Hosts {
+			if sc.zoneOf(i) == "c" {
+				sc.kill(i) // the other host of the zone had noted the start
+			}
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(sc.post(sc.Settings[0].Callers, key, "r1", 2, 10*time.Second), verd.Ran.String())
+		is.Equal(upsim.Examine(sc.Ledger.Runs()).ByID["r1"], 1)
+	})
+}
