Stop a host for 10 s amid a flood, among real processes

Cause: a host that is frozen in a flood was shown for upstreams and for cuts, not for a process that is stopped and goes on with what it held.

Change: a test that stops a replica's host by signal for 10 s while layouts come at twice the capacity; the load and the judgement of the process tests stand in one place.

--- a/cmd/lovagelink/process_test.go
+++ b/cmd/lovagelink/process_test.go
@@ -28,6 +28,7 @@
 	firstLedger  = 26800
 	testHosts    = 6
 	testRate     = 60
+	floodRate    = 600 // layouts a second, twice what the upstreams can do
 	commandLimit = 20 * time.Second
 )
 
@@ -232,11 +233,7 @@
 	is.NoErr(err)
 	t.Log(out)
 	s.startAll()
-	runner := load.New(load.Settings{
-		Shape: load.Gauteng(), Rate: testRate, Period: 24 * time.Second, Entries: s.entries(), Seed: 1,
-	}, peer.TCP{})
-	done := make(chan *load.Result)
-	go func() { done <- runner.Run(context.Background()) }()
+	done := s.load(load.Gauteng(), testRate, 24*time.Second)
 	time.Sleep(time.Second)
 	s.freeze("upstream-0", 3*time.Second)
 	s.freeze("c1", 3*time.Second)
@@ -249,20 +246,62 @@
 	s.startHost("a1")
 	time.Sleep(4 * time.Second)
 	s.kill("b1")
-	result := <-done
-	verdict := result.Judge(s.ledgers(6))
-	for _, tally := range result.Tallies {
-		t.Logf("%s: sent %d served %d refused %d unknown %d p99 %v", tally.Call.Name, tally.Sent,
-			tally.Served, tally.Refused, tally.Unknown, tally.Percentile(99))
-	}
-	t.Logf("%+v", verdict)
-	is.True(verdict.OK())
+	s.judge(<-done)
 	out, err = s.run("config", "--at", address(hostPort(0, 2)), "show")
 	is.NoErr(err)
 	is.True(len(out) > 100) // the configuration has survived
 	s.checkFaults(is)
 }
 
+// A host with dispatchers and a replica is frozen for 10 s amid a flood of layouts, and comes back as though
+// nothing had happened.
+func TestProcessesFrozenInFlood(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	s := newSystem(t)
+	_, err := s.run("settings", "--folder", "run", "--hosts", fmt.Sprint(testHosts), "--port", fmt.Sprint(firstPort))
+	is.NoErr(err)
+	s.startAll()
+	shape := load.Gauteng()
+	shape.Name, shape.Calls = "flood", shape.Calls[2:]
+	is.Equal(shape.Calls[0].Name, "layout")
+	done := s.load(load.Gauteng(), testRate, 16*time.Second)
+	flooded := s.load(shape, floodRate, 14*time.Second)
+	time.Sleep(time.Second)
+	s.freeze("c1", 10*time.Second)
+	s.judge(<-done)
+	s.judge(<-flooded)
+	s.await()
+}
+
+// load begins to send requests to all hosts.
+func (s *system) load(shape load.Shape, rate float64, period time.Duration) <-chan *load.Result {
+	var entries []netip.AddrPort
+	for i := range hostNames {
+		entries = append(entries, netip.MustParseAddrPort(address(hostPort(i, 0))))
+	}
+	runner := load.New(load.Settings{Shape: shape, Rate: rate, Period: period, Entries: entries, Seed: 1}, peer.TCP{})
+	done := make(chan *load.Result, 1)
+	go func() { done <- runner.Run(context.Background()) }()
+	return done
+}
+
+// judge checks every promise.
+func (s *system) judge(result *load.Result) {
+	s.t.Helper()
+	for _, tally := range result.Tallies {
+		s.t.Logf("%s: sent %d served %d refused %d unknown %d p99 %v", tally.Call.Name, tally.Sent,
+			tally.Served, tally.Refused, tally.Unknown, tally.Percentile(99))
+	}
+	verdict := result.Judge(s.ledgers(6))
+	s.t.Logf("%+v", verdict)
+	if !verdict.OK() {
+		s.t.Errorf("promises broken: %+v", verdict)
+	}
+}
+
 // checkFaults makes mistakes and looks for an error that names the place and the remedy.
 func (s *system) checkFaults(is *is.I) {
 	is.Helper()
--- a/cmd/lovagelink/relay_test.go
+++ b/cmd/lovagelink/relay_test.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,7 +14,6 @@
 	"github.com/matryer/is"
 
 	"lovagelink.example/lovagelink/internal/load"
-	"lovagelink.example/lovagelink/internal/peer"
 )
 
 // firstRelay is the first port of the relays, above those of the hosts and below those of connections.
@@ -182,11 +179,7 @@
 	t.Log(out)
 	r := s.relayHosts(hostNames)
 	s.startAll()
-	runner := load.New(load.Settings{
-		Shape: load.Gauteng(), Rate: testRate, Period: 20 * time.Second, Entries: s.entries(), Seed: 1,
-	}, peer.TCP{})
-	done := make(chan *load.Result)
-	go func() { done <- runner.Run(context.Background()) }()
+	done := s.load(load.Gauteng(), testRate, 20*time.Second)
 	none := func(string, string) bool { return false }
 	time.Sleep(time.Second)
 	r.silence()
@@ -200,22 +193,6 @@
 	r.set(0, func(from, to string) bool { return from == leader && to[:1] != leader[:1] })
 	time.Sleep(3 * time.Second)
 	r.set(20*time.Millisecond, none)
-	result := <-done
-	verdict := result.Judge(s.ledgers(6))
-	for _, tally := range result.Tallies {
-		t.Logf("%s: sent %d served %d refused %d unknown %d p99 %v", tally.Call.Name, tally.Sent,
-			tally.Served, tally.Refused, tally.Unknown, tally.Percentile(99))
-	}
-	t.Logf("%+v", verdict)
-	is.True(verdict.OK())
+	s.judge(<-done)
 	s.await()
 }
-
-// entries lists the addresses for callers.
-func (s *system) entries() []netip.AddrPort {
-	var entries []netip.AddrPort
-	for i := range hostNames {
-		entries = append(entries, netip.MustParseAddrPort(address(hostPort(i, 0))))
-	}
-	return entries
-}
