Flood Kingston too, with its own delays

Cause: floods were shown for Gauteng alone, and Kingston's scenes ran with Gauteng's delays.

Change: a tenth of Kingston in TestFloods, with overviews, round sheets and sign-offs as floods; the network's delays belong to the setup: 1 ms between Kingston's zones, 10 ms to its callers.

--- a/internal/fleet/balance_test.go
+++ b/internal/fleet/balance_test.go
@@ -60,7 +60,7 @@
 		t.Run(f.name, func(t *testing.T) {
 			t.Parallel()
 			in(t, func(t *testing.T) {
-				sc := open(t, setup{config: examples.Kingston, hosts: 10, groups: Kingston(), checks: true})
+				sc := open(t, setup{config: examples.Kingston, hosts: 10, groups: Kingston(), checks: true, delays: kingstonDelays})
 				f.befall(sc, load.Kingston(), steadyRate, 17*time.Second)
 				f.check(t, sc.judge())
 			})
--- a/internal/fleet/drain_test.go
+++ b/internal/fleet/drain_test.go
@@ -44,7 +44,7 @@
 // drainUnderLoad has an upstream leave and returns how long after that it began its last work.
 func drainUnderLoad(sc *scene, factor float64) (last time.Duration, flood *load.Result) {
 	sc.load(load.Gauteng(), smallRate, 10*time.Second)
-	flooded := sc.flood("layout", max(factor*smallCapacity, 1), 9*time.Second)
+	flooded := sc.flood(only(load.Gauteng(), "layout"), max(factor*smallCapacity, 1), 9*time.Second)
 	time.Sleep(2 * time.Second)
 	began := time.Now()
 	sc.Upstream("plan-02").Drain()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,14 +17,32 @@
 	"lovagelink.example/lovagelink/internal/upsim"
 )
 
-// zoneDelay is the one-way delay between zones, and of a caller to a zone.
-const zoneDelay = 1500 * time.Microsecond
+// One-way delays.
+const (
+	nearDelay = 100 * time.Microsecond // within a zone
+	zoneDelay = 1500 * time.Microsecond
+)
+
+// delays is how far callers and zones are apart.
+type delays struct {
+	zones, callers time.Duration
+}
+
+// delays of the two users; those of Gauteng's callers count as those between its zones.
+var (
+	gautengDelays  = delays{zones: zoneDelay, callers: zoneDelay}
+	kingstonDelays = delays{zones: time.Millisecond, callers: 10 * time.Millisecond}
+)
 
-func delayOf(from, to memnet.Place) time.Duration {
-	if from.Zone == to.Zone {
-		return 100 * time.Microsecond
+// of returns the one-way delay between two places.
+func (d delays) of(from, to memnet.Place) time.Duration {
+	switch {
+	case from.Zone == to.Zone:
+		return nearDelay
+	case from.Zone == "callers" || to.Zone == "callers":
+		return d.callers
 	}
-	return zoneDelay
+	return d.zones
 }
 
 // scene is a fleet on a network in memory, under load.
@@ -48,6 +66,15 @@
 	checks   bool
 	zones    []string // a, b and c if not given
 	replicas int
+	delays   delays // Gauteng's if not given
+}
+
+// network returns a network with the delays of a setup.
+func (s setup) network() *memnet.Net {
+	if s.delays == (delays{}) {
+		return memnet.New(gautengDelays.of)
+	}
+	return memnet.New(s.delays.of)
 }
 
 func gautengSetup() setup {
@@ -56,7 +83,7 @@
 
 func open(t *testing.T, s setup) *scene {
 	t.Helper()
-	network := memnet.New(delayOf)
+	network := s.network()
 	f, err := Build(time.Now(), planOf(t, s, network))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/flood_test.go
+++ b/internal/fleet/flood_test.go
@@ -34,6 +34,14 @@
 	}}
 }
 
+// smallKingston is a tenth of Kingston that can do as much as smallSetup.
+func smallKingston() setup {
+	return setup{config: examples.Kingston, hosts: 3, checks: true, delays: kingstonDelays, groups: []Group{
+		{Service: "rounds", Count: 3, Slots: 6, Keyed: true, Work: 60 * time.Millisecond},
+		{Service: "billing", Count: 2, Slots: 6, Work: 60 * time.Millisecond},
+	}}
+}
+
 // only is the part of a shape that sends one kind of call.
 func only(shape load.Shape, name string) load.Shape {
 	for _, call := range shape.Calls {
@@ -47,9 +55,9 @@
 }
 
 // flood adds a flood to the load of a scene and returns what its callers saw.
-func (sc *scene) flood(name string, rate float64, period time.Duration) <-chan *load.Result {
+func (sc *scene) flood(shape load.Shape, rate float64, period time.Duration) <-chan *load.Result {
 	runner := load.New(load.Settings{
-		Shape: only(load.Gauteng(), name), Rate: rate, Period: period, Entries: sc.Entries(), Seed: 2,
+		Shape: shape, Rate: rate, Period: period, Entries: sc.Entries(), Seed: 2,
 	}, sc.net.At("callers", "flood"))
 	done := make(chan *load.Result, 1)
 	go func() { done <- runner.Run(context.Background()) }()
@@ -58,10 +66,10 @@
 
 // runFlood loads a scene, floods it, strikes amid the flood, and returns the ordinary callers' share of
 // worth served.
-func runFlood(t *testing.T, sc *scene, name string, factor float64, strike func(sc *scene)) (share float64, ordinary, flood *load.Result) {
-	sc.load(load.Gauteng(), smallRate, floodPeriod)
+func runFlood(t *testing.T, sc *scene, shape load.Shape, name string, factor float64, strike func(sc *scene)) (share float64, ordinary, flood *load.Result) {
+	sc.load(shape, smallRate, floodPeriod)
 	time.Sleep(time.Second)
-	flooded := sc.flood(name, factor*smallCapacity, floodPeriod-2*time.Second)
+	flooded := sc.flood(only(shape, name), factor*smallCapacity, floodPeriod-2*time.Second)
 	time.Sleep(time.Second)
 	strike(sc)
 	<-sc.done
@@ -83,23 +91,29 @@
 func TestFloods(t *testing.T) {
 	for _, scene := range []struct {
 		name   string
+		setup  setup
+		shape  load.Shape
 		call   string
 		factor float64
 		floor  float64 // of the ordinary worth that must be served
 	}{
-		{"least-urgent-3x", "layout", 3, 0.9},
-		{"least-urgent-10x", "layout", 10, 0.9},
-		{"most-urgent-3x", "confirmation", 3, 0.2},
+		{"least-urgent-3x", smallSetup(), load.Gauteng(), "layout", 3, 0.9},
+		{"least-urgent-10x", smallSetup(), load.Gauteng(), "layout", 10, 0.9},
+		{"most-urgent-3x", smallSetup(), load.Gauteng(), "confirmation", 3, 0.2},
+		{"kingston-least-urgent-3x", smallKingston(), load.Kingston(), "overview", 3, 0.9},
+		{"kingston-least-urgent-10x", smallKingston(), load.Kingston(), "overview", 10, 0.9},
+		{"kingston-round-sheets-3x", smallKingston(), load.Kingston(), "round-sheet", 3, 0.4},
+		{"kingston-most-urgent-3x", smallKingston(), load.Kingston(), "sign-off", 3, 0.2},
 	} {
 		t.Run(scene.name, func(t *testing.T) {
 			t.Parallel()
 			in(t, func(t *testing.T) {
-				trusting := smallSetup()
+				trusting := scene.setup
 				trusting.checks = false
-				share, _, _ := runFlood(t, openNaive(t, trusting), scene.call, scene.factor, unharmed)
+				share, _, _ := runFlood(t, openNaive(t, trusting), scene.shape, scene.call, scene.factor, unharmed)
 				t.Logf("naive: worth served %.3f", share)
-				sc := open(t, smallSetup())
-				mine, _, flood := runFlood(t, sc, scene.call, scene.factor, unharmed)
+				sc := open(t, scene.setup)
+				mine, _, flood := runFlood(t, sc, scene.shape, scene.call, scene.factor, unharmed)
 				t.Logf("lovagelink: worth served %.3f", mine)
 				if mine < scene.floor || mine < share {
 					t.Errorf("worth served %.3f, naive %.3f, floor %.3f", mine, share, scene.floor)
@@ -156,11 +170,11 @@
 				trusting := one.setup
 				trusting.checks = false
 				other := openNaive(t, trusting)
-				share, _, flood := runFlood(t, other, "layout", 3, one.strike)
+				share, _, flood := runFlood(t, other, load.Gauteng(), "layout", 3, one.strike)
 				runs := other.Ledger.Runs()
 				t.Logf("naive: worth served %.3f, %+v, flood %+v", share, other.result.Judge(runs), flood.Judge(runs))
 				sc := open(t, one.setup)
-				mine, _, flood := runFlood(t, sc, "layout", 3, one.strike)
+				mine, _, flood := runFlood(t, sc, load.Gauteng(), "layout", 3, one.strike)
 				t.Logf("lovagelink: worth served %.3f", mine)
 				if mine < share {
 					t.Errorf("worth served %.3f, naive %.3f", mine, share)
@@ -196,7 +210,7 @@
 		sc := open(t, smallSetup())
 		verdict, _, _ := sc.postLong(length)
 		is.Equal(verdict, verd.Ran.String())
-		flooded := sc.flood("booking", 10*smallCapacity, 5*time.Second)
+		flooded := sc.flood(only(load.Gauteng(), "booking"), 10*smallCapacity, 5*time.Second)
 		time.Sleep(4 * time.Second)
 		refused := 0
 		for range 20 {
--- a/internal/fleet/naive_test.go
+++ b/internal/fleet/naive_test.go
@@ -6,7 +6,6 @@
 
 	"lovagelink.example/lovagelink/internal/conf"
 	"lovagelink.example/lovagelink/internal/load"
-	"lovagelink.example/lovagelink/internal/memnet"
 	"lovagelink.example/lovagelink/internal/naive"
 )
 
@@ -14,7 +13,7 @@
 // announce themselves to all routers.
 func openNaive(t *testing.T, s setup) *scene {
 	t.Helper()
-	network := memnet.New(delayOf)
+	network := s.network()
 	plan := planOf(t, s, network)
 	plan.Naive = true
 	f, err := Build(time.Now(), plan)
