Follow others of the zone when no replica can be reached

Cause: a control host that is cut off from the other zones followed replicas alone, so that its state stood still although a host of its zone knew the newest. For the 10 minutes of the cut it sent requests by old owners and refused them after 4 s with "the slot has another owner now".

Ruled out: the detour by way of the zone, which worked wherever the state was right.

Conclusion: what a partition leaves connected is used for the state too.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -13,9 +13,9 @@
 
 // sourcesOf lists whom a host follows, the preferred one first. The hosts of a zone are a tree with its
 // replicas at the root, or one host that follows the replicas of other zones. Behind its parent a host
-// prefers the hosts above that, and then the replicas.
+// prefers the hosts above that, then the replicas, and at last some others of its zone: one that reaches
+// no replica may reach a host that does.
 func sourcesOf(name, zone string, peers []conf.Peer) []string {
-	replicas := replicasNear(zone, peers)
 	order, roots := treeOf(zone, peers)
 	position := slices.Index(order, name)
 	var sources []string
@@ -23,12 +23,20 @@
 		position = (position - roots) / fanout
 		sources = append(sources, order[position])
 	}
-	for _, replica := range replicas {
-		if !slices.Contains(sources, replica) {
-			sources = append(sources, replica)
+	sources = appendNew(sources, replicasNear(zone, peers)...)
+	others := slices.DeleteFunc(order, func(other string) bool { return other == name || slices.Contains(sources, other) })
+	others = place.Rank(name, others)
+	return append(sources, others[:min(len(others), fanout)]...)
+}
+
+// appendNew adds names that a list does not have.
+func appendNew(list []string, names ...string) []string {
+	for _, name := range names {
+		if !slices.Contains(list, name) {
+			list = append(list, name)
 		}
 	}
-	return sources
+	return list
 }
 
 // treeOf lists the hosts of a zone, the roots of its tree first.
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"lovagelink.example/lovagelink/examples"
+	"lovagelink.example/lovagelink/internal/load"
 	"lovagelink.example/lovagelink/internal/state"
 	"lovagelink.example/lovagelink/pkg/place"
 )
@@ -163,3 +164,42 @@
 		sc.awaitVersion(accepted.Version, everyHost)
 	})
 }
+
+// A control host sits on the far side of a partition for ten minutes, and reaches its own zone alone. The
+// others go on and change the configuration many times; what its callers ask for is served by way of its
+// zone. When it is back, it unseats no leader and nothing reverts.
+func TestControlHostSilentForLong(t *testing.T) {
+	const silence, changes = 10 * time.Minute, 20
+	in(t, func(t *testing.T) {
+		is := is.New(t)
+		s := smallSetup()
+		s.hosts = 6
+		sc := open(t, s)
+		sc.load(load.Gauteng(), 4, silence+20*time.Second)
+		sc.net.Cut(hostCut("c1", "c"))
+		sc.victims[sc.hostNamed("c1")] = true
+		version := uint64(1)
+		for change := range changes {
+			time.Sleep(silence / changes)
+			accepted, err := sc.accept(sc.leader(), fmt.Sprint("change-", change), version)
+			is.NoErr(err)
+			is.Equal(accepted.Refused, "")
+			version = accepted.Version
+		}
+		before := sc.leader()
+		sc.net.Heal()
+		sc.awaitVersion(version, everyHost)
+		clear(sc.victims)
+		time.Sleep(5 * time.Second)
+		is.Equal(sc.leader(), before)
+		result := sc.judge()
+		for _, tally := range result.Tallies {
+			if tally.Unknown > maxInFlight {
+				t.Errorf("%s: the outcome of %d is unknown", tally.Call.Name, tally.Unknown)
+			}
+			if tally.Refused > 0 {
+				t.Errorf("%s: %d of %d refused", tally.Call.Name, tally.Refused, tally.Sent)
+			}
+		}
+	})
+}
