Report a load run as a page

Cause: the table of a run says how many requests were refused or late, not when, so that a failure amid a run can't be told from a slow start.

The time line and the report write their pages in one place.

--- a/internal/cmds/operate.go
+++ b/internal/cmds/operate.go
@@ -91,16 +91,17 @@
 }
 
 func loadCommand() command {
-	var shape, entries, ledgers string
+	var shape, entries, ledgers, page string
 	var settings load.Settings
 	return command{
 		name:  "load",
 		short: "drive callers at a fixed rate and check every answer",
-		usage: "load --shape gauteng|kingston --entries IP:PORT,... [--ledgers IP:PORT,...]",
+		usage: "load --shape gauteng|kingston --entries IP:PORT,... [--ledgers IP:PORT,...] [--html FILE]",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&shape, "shape", "gauteng", "whose work to send")
 			flags.StringVar(&entries, "entries", "", "callers' addresses of entry hosts, separated by commas")
 			flags.StringVar(&ledgers, "ledgers", "", "addresses of stand-in upstreams whose ledgers are compared")
+			flags.StringVar(&page, "html", "", "file for a report with what became of the requests of each second")
 			flags.Float64Var(&settings.Rate, "rate", 200, "requests a second")
 			flags.DurationVar(&settings.Period, "period", 10*time.Second, "how long")
 			flags.Uint64Var(&settings.Seed, "seed", uint64(time.Now().UnixNano()), "seed of keys and calls, part of request ids")
@@ -113,12 +114,12 @@
 			if settings.Entries, err = parseAddresses(entries); err != nil {
 				return usageError{"--entries: " + err.Error()}
 			}
-			return runLoad(ctx, settings, ledgers, out)
+			return runLoad(ctx, settings, ledgers, page, out)
 		},
 	}
 }
 
-func runLoad(ctx context.Context, settings load.Settings, ledgers string, out io.Writer) error {
+func runLoad(ctx context.Context, settings load.Settings, ledgers, page string, out io.Writer) error {
 	if settings.Rate <= 0 {
 		return usageError{"--rate must be above 0"}
 	}
@@ -126,18 +127,41 @@
 	demo.Print(out, result)
 	if ledgers == "" {
 		fmt.Fprintln(out, "no --ledgers were named, so doubles and owners were not checked")
+		return writeReport(out, page, result, nil)
+	}
+	runs, err := readLedgers(ctx, ledgers)
+	if err != nil {
+		return err
+	}
+	verdict := result.Judge(runs)
+	if err := writeReport(out, page, result, &verdict); err != nil {
+		return err
+	}
+	if !demo.PrintVerdict(out, verdict) {
+		return errBroken
+	}
+	return nil
+}
+
+// writeReport writes the page of a load run if one is asked for.
+func writeReport(out io.Writer, page string, result *load.Result, verdict *load.Verdict) error {
+	if page == "" {
 		return nil
 	}
+	return writePage(out, page, fmt.Sprintf("%d requests", result.Sent()), func(file io.Writer) error {
+		return result.WriteReport(file, verdict)
+	})
+}
+
+// readLedgers collects what stand-in upstreams have run.
+func readLedgers(ctx context.Context, ledgers string) ([]upsim.Run, error) {
 	var runs []upsim.Run
 	for _, address := range strings.Split(ledgers, ",") {
 		var part []upsim.Run
 		if err := ask(ctx, http.MethodGet, address, "/lovagelink/ledger", nil, &part); err != nil {
-			return errors.Join(errors.New("ledger of "+address), err)
+			return nil, errors.Join(errors.New("ledger of "+address), err)
 		}
 		runs = append(runs, part...)
 	}
-	if !demo.PrintVerdict(out, result.Judge(runs)) {
-		return errBroken
-	}
-	return nil
+	return runs, nil
 }
--- a/internal/cmds/timeline.go
+++ b/internal/cmds/timeline.go
@@ -68,14 +68,21 @@
 		printTimeline(out, events)
 		return nil
 	}
+	return writePage(out, page, fmt.Sprintf("%d events", len(events)), func(file io.Writer) error {
+		return event.WritePage(file, events)
+	})
+}
+
+// writePage writes a page to a file and tells what it shows.
+func writePage(out io.Writer, page, shows string, write func(io.Writer) error) error {
 	file, err := os.Create(page)
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(event.WritePage(file, events), file.Close()); err != nil {
+	if err := errors.Join(write(file), file.Close()); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%s: %d events\n", page, len(events))
+	fmt.Fprintf(out, "%s: %s\n", page, shows)
 	return nil
 }
 
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -23,6 +23,8 @@
 	Unknown  int // answered "may have run", or not at all
 	Resent   int
 	Latency  *hdrhistogram.Histogram // of served requests, in microseconds
+
+	seconds series // of the run
 }
 
 // maxFailures bounds the list of requests that were not served.
@@ -40,6 +42,8 @@
 // Result is what a load run has seen.
 type Result struct {
 	mu        sync.Mutex
+	shape     string
+	began     time.Time
 	Tallies   []*Tally
 	Truncated int
 	Crossed   int
@@ -50,7 +54,7 @@
 }
 
 func newResult(shape Shape) *Result {
-	r := &Result{Reasons: make(map[string]int), notRun: make(map[string]bool), ran: make(map[string]bool)}
+	r := &Result{shape: shape.Name, Reasons: make(map[string]int), notRun: make(map[string]bool), ran: make(map[string]bool)}
 	for _, call := range shape.Calls {
 		r.Tallies = append(r.Tallies, &Tally{Call: call, Latency: hdrhistogram.New(1, maxLatency, 3)})
 	}
@@ -78,19 +82,25 @@
 	if fate.saidNotRun {
 		r.notRun[id] = true
 	}
+	second := tally.seconds.at(fate.due.Sub(r.began))
 	switch {
 	case fate.answered && fate.verdict == verd.Ran:
 		tally.Served++
 		r.ran[id] = true
 		if fate.took <= call.Target {
 			tally.OnTarget++
+			second.OnTarget++
+		} else {
+			second.Late++
 		}
 		_ = tally.Latency.RecordValue(min(fate.took.Microseconds(), maxLatency))
 	case fate.answered && fate.verdict == verd.NotRun:
 		tally.Refused++
+		second.Refused++
 		r.fail(call, id, fate)
 	default:
 		tally.Unknown++
+		second.Unknown++
 		r.fail(call, id, fate)
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -72,6 +72,7 @@
 	draw := newDrawer(r.settings.Shape, r.settings.Seed)
 	interval := time.Duration(float64(time.Second) / r.settings.Rate)
 	began := time.Now()
+	r.result.began = began
 	var group sync.WaitGroup
 	for number := 0; ; number++ {
 		due := began.Add(time.Duration(number) * interval)
