Write the parts of make test with one flag each

The list of tests to skip stood twice on one line. The commands are otherwise the same; make -n test shows them.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 FLEET := ./internal/fleet
 SCENES := TestFailures|TestTwoFailures|TestKingston|TestWhenCut
 FLOODS := TestFloods|TestFailuresInFlood
-TEST := go test -race -timeout 40m -skip '^($(SKIPPED))$$' -parallel
+TEST := go test -race -timeout 40m
+skip = -skip '^($(1))$$'
 
 build:
 	go build -o lovagelink ./cmd/lovagelink
@@ -24,10 +25,10 @@
 
 test: lint
 	@cat KNOWN-RED.txt
-	$(TEST) 4 $$(go list ./... | grep -v '$(FLEET:./%=%)$$')
-	$(TEST) 4 -run '^($(SCENES))$$' $(FLEET)
-	$(TEST) 1 -run '^($(FLOODS))$$' $(FLEET)
-	$(TEST) 4 -skip '^($(SKIPPED)|$(SCENES)|$(FLOODS))$$' $(FLEET)
+	$(TEST) -parallel 4 $(call skip,$(SKIPPED)) $$(go list ./... | grep -v '$(FLEET:./%=%)$$')
+	$(TEST) -parallel 4 $(call skip,$(SKIPPED)) -run '^($(SCENES))$$' $(FLEET)
+	$(TEST) -parallel 1 $(call skip,$(SKIPPED)) -run '^($(FLOODS))$$' $(FLEET)
+	$(TEST) -parallel 4 $(call skip,$(SKIPPED)|$(SCENES)|$(FLOODS)) $(FLEET)
 
 # soak runs every pair of failures and thousands of interleavings of the log.
 soak:
