Forget how long upstreams take that have left

The leader kept the last report of every upstream that it ever had. A report that is older than a minute counts for nothing and is now dropped when loads decay, every 5 s.

--- a/internal/ctrl/loads.go
+++ b/internal/ctrl/loads.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -99,8 +100,9 @@
 	}
 }
 
-// decay lets old requests count less.
-func (l *loads) decay() {
+// decay lets old requests count less, and forgets old reports.
+func (l *loads) decay(now time.Time) {
+	maps.DeleteFunc(l.took, func(_ string, report tookReport) bool { return now.Sub(report.at) > tookKept })
 	for key, load := range l.slots {
 		if load *= loadDecay; load < 0.01 {
 			delete(l.slots, key)
--- a/internal/ctrl/slots.go
+++ b/internal/ctrl/slots.go
@@ -146,7 +146,7 @@
 	isDue := now.Sub(l.planned) >= balancePeriod
 	if isDue {
 		l.planned = now
-		defer l.loads.decay()
+		defer l.loads.decay(now)
 	}
 	for _, name := range sortedKeys(s.Tables) {
 		table := s.Tables[name]
