Ask other hosts of the zone for the state only when no source answers

Cause: since hosts of the zone are the last sources of a host, a host whose sources had nothing new for a moment went on to one of them, which often follows this host itself: both waited for a second. In a rolling restart requests waited up to 1.14 s where it had been 0.6 s at the most.

Change: such hosts are resorts, asked one at a time when a whole round of the sources has brought no answer. A round that has nobody to ask pauses.

--- a/internal/ctrl/client.go
+++ b/internal/ctrl/client.go
@@ -24,13 +24,19 @@
 	Report(now time.Time, withLoads bool) Beat
 }
 
+// Sources are the hosts whose state a host can follow.
+type Sources struct {
+	Preferred []string // tried in turn, the first one first
+	Resorts   []string // tried when none of them has answered
+}
+
 // Client keeps one entry host in touch with the control plane.
 type Client struct {
 	name     string
 	hub      *peer.Hub
 	feed     *state.Feed
 	replicas []string // own zone first
-	sources  []string // whom to follow, the preferred one first
+	sources  Sources
 	reporter Reporter
 	clock    *event.Clock
 	nudge    chan struct{}
@@ -46,7 +52,7 @@
 }
 
 // NewClient returns a client; replicas lists the hosts of the log, the nearest first.
-func NewClient(name string, hub *peer.Hub, feed *state.Feed, replicas, sources []string, reporter Reporter, clock *event.Clock) *Client {
+func NewClient(name string, hub *peer.Hub, feed *state.Feed, replicas []string, sources Sources, reporter Reporter, clock *event.Clock) *Client {
 	c := &Client{
 		name: name, hub: hub, feed: feed, replicas: replicas, sources: sources, reporter: reporter, clock: clock,
 		nudge: make(chan struct{}, 1),
@@ -214,34 +220,46 @@
 	}
 }
 
-// watchLoop follows the preferred source; when that fails or has nothing new, the others in turn, each
-// for a while.
+// watchLoop follows the first source; when that fails or has nothing new, the others in turn, each for a
+// while. A source that answers is better than a resort, which may wait for this host itself.
 func (c *Client) watchLoop() error {
 	ctx := c.tomb.Context(context.Background())
-	for turn := 0; c.tomb.Alive(); {
-		source := c.sources[turn%len(c.sources)]
-		if source != c.name && c.watchSource(ctx, source, turn > 0) {
-			turn = 0
-			continue
+	for round := 0; c.tomb.Alive(); round++ {
+		if isAnswered := c.watchRound(ctx); !isAnswered && len(c.sources.Resorts) > 0 {
+			_ = c.watchSource(ctx, c.sources.Resorts[round%len(c.sources.Resorts)], true)
 		}
-		turn = (turn + 1) % len(c.sources)
 		pause.For(ctx, watchPause)
 	}
 	return nil
 }
 
-// watchSource follows one source until it fails; it reports true when its time as a substitute is over.
-func (c *Client) watchSource(ctx context.Context, source string, isSubstitute bool) bool {
+// watchRound follows the sources in turn; it reports whether one of them has answered.
+func (c *Client) watchRound(ctx context.Context) (isAnswered bool) {
+	for turn, source := range c.sources.Preferred {
+		if source == c.name {
+			continue
+		}
+		err := c.watchSource(ctx, source, turn > 0)
+		if err == nil {
+			return true
+		}
+		isAnswered = isAnswered || errors.Is(err, errStale)
+	}
+	return isAnswered
+}
+
+// watchSource follows one source until it fails; it returns nil when its time as a substitute is over.
+func (c *Client) watchSource(ctx context.Context, source string, isSubstitute bool) error {
 	began := time.Now()
 	for c.tomb.Alive() {
 		if isSubstitute && time.Since(began) > substitutePeriod {
-			return true
+			return nil
 		}
-		if c.watch(ctx, source) != nil {
-			return false
+		if err := c.watch(ctx, source); err != nil {
+			return err
 		}
 	}
-	return false
+	return nil
 }
 
 func (c *Client) watch(ctx context.Context, source string) error {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -13,20 +13,19 @@
 
 // sourcesOf lists whom a host follows, the preferred one first. The hosts of a zone are a tree with its
 // replicas at the root, or one host that follows the replicas of other zones. Behind its parent a host
-// prefers the hosts above that, then the replicas, and at last some others of its zone: one that reaches
-// no replica may reach a host that does.
-func sourcesOf(name, zone string, peers []conf.Peer) []string {
+// prefers the hosts above that, then the replicas. The resorts are some others of its zone: a host that
+// reaches no source may reach one that does.
+func sourcesOf(name, zone string, peers []conf.Peer) (sources, resorts []string) {
 	order, roots := treeOf(zone, peers)
 	position := slices.Index(order, name)
-	var sources []string
 	for position >= roots {
 		position = (position - roots) / fanout
 		sources = append(sources, order[position])
 	}
 	sources = appendNew(sources, replicasNear(zone, peers)...)
 	others := slices.DeleteFunc(order, func(other string) bool { return other == name || slices.Contains(sources, other) })
-	others = place.Rank(name, others)
-	return append(sources, others[:min(len(others), fanout)]...)
+	resorts = place.Rank(name, others)
+	return sources, resorts[:min(len(resorts), fanout)]
 }
 
 // appendNew adds names that a list does not have.
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -34,11 +34,12 @@
 			parents, isReplica := make(map[string]string), make(map[string]bool)
 			followers := make(map[string]int)
 			for _, peer := range peers {
-				sources := sourcesOf(peer.Name, peer.Zone, peers)
+				sources, resorts := sourcesOf(peer.Name, peer.Zone, peers)
 				isReplica[peer.Name] = peer.Replica
 				parents[peer.Name] = sources[0]
 				followers[sources[0]]++
-				is.True(len(sources) >= one.replicas) // every replica is a last resort
+				is.True(len(sources) >= one.replicas) // every replica is a source
+				is.True(len(resorts) <= fanout)
 			}
 			for _, peer := range peers {
 				depth := 0
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -106,8 +106,9 @@
 	clock := &event.Clock{}
 	h.line = event.NewLine(settings.Name, clock)
 	h.zoneLease = &zoneLease{host: h}
-	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, replicasNear(settings.Zone, settings.Hosts),
-		sourcesOf(settings.Name, settings.Zone, settings.Hosts), &reporter{h}, clock)
+	var follow ctrl.Sources
+	follow.Preferred, follow.Resorts = sourcesOf(settings.Name, settings.Zone, settings.Hosts)
+	h.client = ctrl.NewClient(settings.Name, h.hub, h.feed, replicasNear(settings.Zone, settings.Hosts), follow, &reporter{h}, clock)
 	h.disps = disp.NewSet(h.feed, h.incarnation, disp.Deps{
 		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Witness: witness{h}, Historian: h,
 		Offloader: h, Control: h, Book: h.book, Stats: &h.dispatch,
