Let the answers of forgotten records go, and say three things once

Cause, found on reading the change again: the list of kept answers held on to records that had left the book after 5 minutes, with their answers, until 48 MB of newer ones had come; answers without a byte would have held them for good. Each resend looked for a doubt that only a first request can have; taking in another host's notes stood twice; one clipping of a slice had no use.

Change: the list lets go of forgotten records first; runFirst carries out a request that the book does not know; Import calls Restore.

The resends, the offloading and three failures passed.

--- a/internal/disp/book_test.go
+++ b/internal/disp/book_test.go
@@ -96,6 +96,12 @@
 	is.Equal(oldest.Outcome.Verdict, verd.Ran)
 	is.Equal(oldest.Outcome.Status, http.StatusGone)
 	is.Equal(len(newest.Outcome.Body), len(body))
+	later := now.Add(KeepOutcomes + time.Second)
+	one, _ := book.begin(later, Request{Service: "plan", ID: "later"})
+	book.finish(one, Outcome{Verdict: verd.Ran, Status: 200})
+	is.Equal(book.Len(), 1)
+	is.Equal(book.answers.used, 0) // the answers of records that are forgotten go with them
+	is.Equal(len(book.answers.order), 1)
 }
 
 // The book does what a plain map of all records would do, over random courses of calls.
--- a/internal/disp/record.go
+++ b/internal/disp/record.go
@@ -83,19 +83,22 @@
 	}
 	a.used += one.note.Outcome.bytes()
 	a.order = append(a.order, one)
-	for a.used > a.limit && len(a.order) > 0 {
-		a.drop(a.order[0])
+	a.trim()
+}
+
+// trim lets go of the oldest answers: those of records that are forgotten, and those beyond the bound.
+func (a *answers) trim() {
+	for len(a.order) > 0 && (a.order[0].gone || a.used > a.limit) {
+		one := a.order[0]
 		a.order[0] = nil
 		a.order = a.order[1:]
+		a.used -= one.note.Outcome.bytes()
+		if !one.gone {
+			one.note.Outcome = &answerGone
+		}
 	}
 }
 
-// drop forgets the answer of a record.
-func (a *answers) drop(one *record) {
-	a.used -= one.note.Outcome.bytes()
-	one.note.Outcome = &answerGone
-}
-
 // answerGone is the outcome of a request that has run and whose answer is no longer kept.
 var answerGone = Outcome{
 	Verdict: verd.Ran, Status: http.StatusGone, Reason: "the request has run, and its answer is no longer kept",
--- a/internal/disp/run.go
+++ b/internal/disp/run.go
@@ -68,15 +68,8 @@
 	for {
 		now := time.Now()
 		one, isFirst := d.Book.begin(now, r)
-		if reason := d.doubt(now, s, r); isFirst && reason != "" {
-			outcome := unknown(reason)
-			d.Book.drop(one, outcome)
-			return outcome
-		}
 		if isFirst {
-			outcome := d.attempt(ctx, s, r)
-			d.Book.finish(one, outcome)
-			return outcome
+			return d.runFirst(ctx, now, s, one, r)
 		}
 		if outcome, isJoined := d.join(ctx, one, r); isJoined {
 			return outcome
@@ -84,6 +77,18 @@
 	}
 }
 
+// runFirst carries out a request that the book did not know, unless it may have been started all the same.
+func (d *Dispatcher) runFirst(ctx context.Context, now time.Time, s *share, one *record, r Request) Outcome {
+	if reason := d.doubt(now, s, r); reason != "" {
+		outcome := unknown(reason)
+		d.Book.drop(one, outcome)
+		return outcome
+	}
+	outcome := d.attempt(ctx, s, r)
+	d.Book.finish(one, outcome)
+	return outcome
+}
+
 // doubt says why a request that the book does not know may have been started all the same, or "".
 func (d *Dispatcher) doubt(now time.Time, s *share, r Request) string {
 	switch {
--- a/internal/disp/shared.go
+++ b/internal/disp/shared.go
@@ -36,9 +36,7 @@
 // Import takes in what another host knows of slots; a start without an outcome counts as one that may have
 // run. The hosts that knew of a request before go on to be the two that keep it.
 func (b *Book) Import(now time.Time, notes []Note) {
-	for _, note := range notes {
-		b.Witness(now, "", note)
-	}
+	b.Restore(now, "", notes)
 }
 
 // Restore takes in records that this host keeps together with another one.
--- a/internal/entry/offload.go
+++ b/internal/entry/offload.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -99,7 +98,7 @@
 		}
 	})
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	return slices.Clip(targets[:min(len(targets), offloadChoices)])
+	return targets[:min(len(targets), offloadChoices)]
 }
 
 // expect asks a dispatcher how long a request would take, unless it has said so just now.
