Send each fence on one connection only, and name the upstream in grants

Cause: an upstream crashed behind a cut and another process began at its address. A heartbeat of the former one arrived late, so the leader tried it again, on a new connection and under the fence that the former process had had; the new process took the keys. Ruled out: a race of moves (no move was under way) and a change of the leader (there was none).

A process that starts again under the same id can't be told that way, so a fence is sent on one connection only: when that has ended, the keys of the upstream get a new fence from the log before another connection is opened, and each leadership begins without connections. What could not be sent prolongs no grant any more, so keys of upstreams that can't be reached go to others sooner.

Tests, each seen to fail without its guard or before the change: TestSuccessorGetsNewFences, TestGrantsGoToOneProcess, TestUnreachedProlongsNothing, TestCutZoneKeepsItsKeys, TestHealedZoneKeepsItsKeys.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -2,15 +2,33 @@
 
 import (
 	"errors"
+	"net/netip"
 	"time"
 )
 
-// Errors of orders to upstreams that were answered.
+// Errors of orders to upstreams: two that were answered, and two that were not sent.
 var (
 	ErrOutranked    = errors.New("the upstream has seen a higher fence for these keys")
 	ErrOrderRefused = errors.New("the upstream refused the order")
+	ErrUnreached    = errors.New("the upstream can't be reached; the order was not sent")
+	ErrNotLinked    = errors.New("no connection to the upstream is open; the order was not sent")
 )
 
+// Target is the upstream that an order is meant for. Another process may have its address by now, and refuses the order.
+type Target struct {
+	ID      string
+	Address netip.AddrPort
+}
+
+// Grant is the order to take keys for a time that counts from the arrival of the call; sent once more it renews the grant.
+type Grant struct {
+	From, To uint16 // both included
+	Fence    uint64
+	Hold     time.Duration
+	Handover string // what the last owner said when it released the keys
+	IsLinked bool   // to be sent only on a connection that is open already
+}
+
 // Load is what an upstream says of itself.
 type Load struct {
 	Running int
--- a/internal/cmds/hosts.go
+++ b/internal/cmds/hosts.go
@@ -163,7 +163,7 @@
 		return trace.BadParameter("a control host needs an address for the operator and a data folder")
 	}
 	hub := peer.NewOpen(peer.TCP{}, p.site.PeerName(p.site.Control), p.site.Peer(p.site.Control))
-	host, err := core.New(time.Now(), p.site, hub, platform.NewGrants(), clock.New(), p.logger)
+	host, err := core.New(time.Now(), p.site, hub, func() core.Orders { return platform.NewGrants() }, clock.New(), p.logger)
 	if err != nil {
 		return err
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"gopkg.in/tomb.v2"
 
+	"lovagelink.example/lovagelink/internal/calls"
 	"lovagelink.example/lovagelink/internal/clock"
 	"lovagelink.example/lovagelink/internal/ctrl"
 	"lovagelink.example/lovagelink/internal/keyed"
@@ -24,8 +25,8 @@
 
 // Orders are the calls to upstreams about keys.
 type Orders interface {
-	Grant(ctx context.Context, to netip.AddrPort, keys realm.Keys, fence uint64, hold time.Duration, handover string) error
-	Release(ctx context.Context, to netip.AddrPort, keys realm.Keys, fence uint64) (handover string, err error)
+	Grant(ctx context.Context, to calls.Target, grant calls.Grant) error
+	Release(ctx context.Context, to calls.Target, keys realm.Keys, fence uint64) (handover string, err error)
 }
 
 // Host is one control host.
@@ -33,7 +34,7 @@
 	site   site.Host
 	name   string // among other hosts: its address there
 	hub    *peer.Hub
-	orders Orders
+	orders func() Orders // without connections, for each leadership
 	guard  *clock.Guard
 	logger log.Logger
 	tomb   tomb.Tomb
@@ -52,7 +53,7 @@
 }
 
 // New returns a control host that has not started.
-func New(now time.Time, host site.Host, hub *peer.Hub, orders Orders, guard *clock.Guard, logger log.Logger) (*Host, error) {
+func New(now time.Time, host site.Host, hub *peer.Hub, orders func() Orders, guard *clock.Guard, logger log.Logger) (*Host, error) {
 	h := &Host{
 		site: host, seeds: host.Seeds, name: host.PeerName(host.Control), hub: hub, orders: orders, guard: guard, logger: logger,
 		guests: make(map[string]time.Time), hearing: newHearing(),
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -12,12 +12,12 @@
 	"github.com/go-kit/log"
 	"github.com/matryer/is"
 
+	"lovagelink.example/lovagelink/internal/calls"
 	"lovagelink.example/lovagelink/internal/clock"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/realm"
 	"lovagelink.example/lovagelink/internal/route"
 	"lovagelink.example/lovagelink/internal/site"
-	"lovagelink.example/lovagelink/pkg/paxos"
 )
 
 // upstreams are stand-ins that note which of them holds which keys, and whether two ever held the same.
@@ -28,15 +28,38 @@
 	broken error
 	slow   time.Duration // of each call
 	calls  int
+	linked map[netip.AddrPort]bool   // a connection for grants is open
+	former map[netip.AddrPort]uint64 // highest fence that went to an earlier process at an address
 }
 
-var errTwoOwners = errors.New("two upstreams hold the same key")
+var (
+	errTwoOwners = errors.New("two upstreams hold the same key")
+	errOldFence  = errors.New("an upstream has taken keys under a fence that its predecessor has had")
+)
+
+// replace ends the process at an address and begins another one there, which knows nothing.
+func (u *upstreams) replace(at netip.AddrPort) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.former[at] = max(u.former[at], u.fences[at])
+	delete(u.holds, at)
+	delete(u.linked, at)
+}
 
-func (u *upstreams) Grant(_ context.Context, to netip.AddrPort, keys realm.Keys, fence uint64, _ time.Duration, _ string) error {
+func (u *upstreams) Grant(_ context.Context, target calls.Target, grant calls.Grant) error {
 	time.Sleep(u.slow)
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	to, keys, fence := target.Address, realm.Keys{From: grant.From, To: grant.To}, grant.Fence
+	if grant.IsLinked && !u.linked[to] {
+		return calls.ErrNotLinked
+	}
+	u.linked[to] = true
 	u.calls++
+	if fence <= u.former[to] {
+		u.broken = errOldFence
+	}
+	u.fences[to] = max(u.fences[to], fence)
 	for other, ranges := range u.holds {
 		for _, one := range ranges {
 			if other != to && one.Meets(keys) {
@@ -48,14 +71,21 @@
 	return nil
 }
 
-func (u *upstreams) Release(_ context.Context, to netip.AddrPort, keys realm.Keys, _ uint64) (string, error) {
+func (u *upstreams) Release(_ context.Context, to calls.Target, keys realm.Keys, _ uint64) (string, error) {
 	time.Sleep(u.slow)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.holds[to] = u.holds[to].Cut(keys)
+	u.holds[to.Address] = u.holds[to.Address].Cut(keys)
 	return "handover", nil
 }
 
+func newUpstreams() *upstreams {
+	return &upstreams{
+		holds: make(map[netip.AddrPort]realm.Ranges), fences: make(map[netip.AddrPort]uint64),
+		linked: make(map[netip.AddrPort]bool), former: make(map[netip.AddrPort]uint64),
+	}
+}
+
 func (u *upstreams) held(at netip.AddrPort) int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -80,7 +110,7 @@
 		DataFolder: t.TempDir(), Control: place(last, 29200), Bounds: site.Bounds{HoldMax: 10 * time.Second, Beat: 100 * time.Millisecond},
 	}
 	hub := peer.NewOpen(peer.TCP{}, settings.PeerName(settings.Control), settings.Peer(settings.Control))
-	h, err := New(time.Now(), settings, hub, orders, clock.New(), log.NewNopLogger())
+	h, err := New(time.Now(), settings, hub, func() Orders { return orders }, clock.New(), log.NewNopLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,7 +163,8 @@
 // renewal that was read from the state before a move is not sent behind it.
 func TestRenewalsDoNotCrossMoves(t *testing.T) {
 	is := is.New(t)
-	u := &upstreams{holds: make(map[netip.AddrPort]realm.Ranges), slow: 2 * time.Millisecond}
+	u := newUpstreams()
+	u.slow = 2 * time.Millisecond
 	h := alone(t, 1, u)
 	ctx := context.Background()
 	is.NoErr(h.Accept(ctx, time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
@@ -162,10 +193,30 @@
 	is.True(u.calls > 20)
 }
 
+// An upstream ends unseen, another process takes its place under its id and address, and a late heartbeat of the former
+// one still comes: the new one is granted keys under new fences only.
+func TestSuccessorGetsNewFences(t *testing.T) {
+	is := is.New(t)
+	u := newUpstreams()
+	h := alone(t, 6, u)
+	ctx := context.Background()
+	is.NoErr(h.Accept(ctx, time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
+	beat(t, h, 30, 31)
+	at := place(30, 29300)
+	await(t, "keys granted", func() bool { return u.held(at) > 0 && u.held(place(31, 29300)) > 0 })
+	for range 3 {
+		u.replace(at)
+		await(t, "keys granted again", func() bool { return u.held(at) > 0 })
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	is.NoErr(u.broken)
+}
+
 // An upstream that says it leaves is acknowledged, and its keys go to the others.
 func TestKeysOfLeaverMove(t *testing.T) {
 	is := is.New(t)
-	u := &upstreams{holds: make(map[netip.AddrPort]realm.Ranges)}
+	u := newUpstreams()
 	h := alone(t, 2, u)
 	ctx := context.Background()
 	is.NoErr(h.Accept(ctx, time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
@@ -184,10 +235,11 @@
 // free.
 func TestDecisionsEndWithTheirLeadership(t *testing.T) {
 	is := is.New(t)
-	h := alone(t, 5, &upstreams{holds: make(map[netip.AddrPort]realm.Ranges)})
+	h := alone(t, 5, newUpstreams())
 	is.NoErr(h.Accept(context.Background(), time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
 	status, _ := h.leads(time.Now())
-	earlier := newKeeper(time.Now(), h, paxos.Ballot{Round: status.Ballot.Round - 1, Name: status.Ballot.Name})
+	status.Ballot.Round--
+	earlier := newKeeper(time.Now(), h, status)
 	defer earlier.stop()
 	earlier.insist(realm.Command{Assign: []realm.Assign{{Service: "s", Keys: realm.AllKeys, Owner: realm.Life{ID: "x"}}}})
 	is.True(earlier.host.propose(context.Background(), earlier.ballot, realm.Command{}) != nil)
@@ -197,7 +249,7 @@
 // A leader tells how many hosts carry traffic only once it has heard all of them.
 func TestNewLeaderCountsBeforeItTells(t *testing.T) {
 	is := is.New(t)
-	h := alone(t, 3, &upstreams{holds: make(map[netip.AddrPort]realm.Ranges)})
+	h := alone(t, 3, newUpstreams())
 	reply, err := h.handleReport(context.Background(), "front-1", Report{})
 	is.NoErr(err)
 	is.True(reply.OK)
@@ -213,7 +265,7 @@
 // Heartbeats of an earlier life, and those that were overtaken, change nothing.
 func TestLateHeartbeats(t *testing.T) {
 	is := is.New(t)
-	h := alone(t, 4, &upstreams{holds: make(map[netip.AddrPort]realm.Ranges)})
+	h := alone(t, 4, newUpstreams())
 	ctx := context.Background()
 	phase := func() (realm.Phase, int64) {
 		var u realm.Upstream
--- a/internal/core/granting.go
+++ b/internal/core/granting.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lovagelink.example/lovagelink/internal/calls"
+	"lovagelink.example/lovagelink/internal/keyed"
 	"lovagelink.example/lovagelink/internal/realm"
 )
 
@@ -17,6 +18,7 @@
 	address netip.AddrPort
 	service string
 	calls   sync.Mutex // held while a grant is on its way
+	link    *keyed.Link
 	wake    chan struct{}
 	granted map[realm.Keys]time.Time // when each range was last granted
 }
@@ -34,7 +36,7 @@
 			task := k.tasks[one.Owner]
 			if task == nil {
 				task = &granting{
-					life: one.Owner, address: u.Address, service: service,
+					life: one.Owner, address: u.Address, service: service, link: keyed.NewLink(k.opened),
 					wake: make(chan struct{}, 1), granted: make(map[realm.Keys]time.Time),
 				}
 				k.tasks[one.Owner] = task
@@ -47,6 +49,8 @@
 	}
 }
 
+func (t *granting) target() calls.Target { return calls.Target{ID: t.life.ID, Address: t.address} }
+
 func (t *granting) rouse() {
 	select {
 	case t.wake <- struct{}{}:
@@ -84,14 +88,8 @@
 	k.host.Read(func(s *realm.State) {
 		u := s.Upstreams[t.life.ID]
 		isKnown = u != nil && u.Life == t.life && !u.Ended
-		owned := s.Owned[t.service]
-		if owned == nil || !mayHold(s, t.life) {
-			return
-		}
-		for _, one := range owned.Ranges {
-			if one.Owner == t.life {
-				ranges = append(ranges, one)
-			}
+		if mayHold(s, t.life) {
+			ranges = rangesOf(s, t)
 		}
 	})
 	for _, one := range ranges {
@@ -118,8 +116,20 @@
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, k.terms.Call)
-	err := k.host.orders.Grant(callCtx, t.address, one.Keys, one.Fence, k.terms.Hold, one.Handover)
+	err := k.orders.Grant(callCtx, t.target(), calls.Grant{
+		From: one.From, To: one.To, Fence: one.Fence, Hold: k.terms.Hold, Handover: one.Handover, IsLinked: !t.link.MayOpen(),
+	})
 	cancel()
+	if errors.Is(err, calls.ErrNotLinked) {
+		k.mu.Lock()
+		k.book.Unsent(t.life)
+		k.mu.Unlock()
+		k.relink(ctx, t)
+		return
+	}
+	if !errors.Is(err, calls.ErrUnreached) {
+		t.link.Sent(one.Fence)
+	}
 	now = time.Now()
 	k.mu.Lock()
 	wasFailing := k.book.FailingFor(now, t.life) > 0
@@ -129,6 +139,8 @@
 		t.granted[one.Keys] = now
 	case errors.Is(err, calls.ErrOrderRefused):
 		k.book.Refused(now, t.life)
+	case errors.Is(err, calls.ErrUnreached):
+		k.book.Unreached(now, t.life)
 	default:
 		k.book.Failed(now, t.life)
 	}
@@ -148,6 +160,37 @@
 	}
 }
 
+// relink prepares for another connection to an upstream, since the last one has ended or there was none.
+func (k *keeper) relink(ctx context.Context, t *granting) {
+	mustRenew := func() (must bool) {
+		k.host.Read(func(s *realm.State) { must = t.link.Renew(rangesOf(s, t)) })
+		return must
+	}
+	if mustRenew() {
+		if err := k.host.propose(ctx, k.ballot, realm.Command{Fence: []realm.Life{t.life}}); err != nil {
+			_ = k.host.logger.Log("event", "keys-fenced", "upstream", t.life.ID, "outcome", "unknown", "reason", err)
+			return // the timer asks again
+		}
+		_ = k.host.logger.Log("event", "keys-fenced", "upstream", t.life.ID, "born", t.life.Born,
+			"reason", "the connection for grants has ended, and another process may have its place")
+		mustRenew()
+	}
+	t.rouse()
+}
+
+func rangesOf(s *realm.State, t *granting) (ranges []realm.Range) {
+	owned := s.Owned[t.service]
+	if owned == nil {
+		return nil
+	}
+	for _, one := range owned.Ranges {
+		if one.Owner == t.life {
+			ranges = append(ranges, one)
+		}
+	}
+	return ranges
+}
+
 // isDue reports whether a grant is to be sent now, and notes that it is on its way. The range was read a while ago:
 // since then some of its keys may have begun to move, or may have moved.
 func (k *keeper) isDue(now time.Time, t *granting, one realm.Range) bool {
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -31,7 +31,9 @@
 // keeper grants keys to their owners during one leadership.
 type keeper struct {
 	host   *Host
+	orders Orders
 	ballot paxos.Ballot
+	opened uint64 // position of the log at which the leadership began
 	terms  keyed.Terms
 	tomb   tomb.Tomb
 
@@ -76,16 +78,16 @@
 			continue
 		}
 		if k == nil {
-			k = newKeeper(now, h, status.Ballot)
+			k = newKeeper(now, h, status)
 			_ = h.logger.Log("event", "leadership-won", "ballot", status.Ballot, "commit", status.Commit)
 		}
 		k.plan(now)
 	}
 }
 
-func newKeeper(now time.Time, h *Host, ballot paxos.Ballot) *keeper {
+func newKeeper(now time.Time, h *Host, status paxos.Status) *keeper {
 	k := &keeper{
-		host: h, ballot: ballot, began: now, joined: now,
+		host: h, orders: h.orders(), ballot: status.Ballot, opened: status.Commit, began: now, joined: now,
 		terms:    keyed.Terms{Hold: min(holdTime, h.site.Bounds.HoldMax), Renew: renewGap, Call: grantLimit},
 		planners: make(map[string]*keyed.Planner), tasks: make(map[realm.Life]*granting),
 		moving: make(map[move]bool), seen: make(map[realm.Life]bool), places: make(map[string]realm.Life), gone: make(map[realm.Life]time.Time),
@@ -226,12 +228,12 @@
 			continue
 		}
 		heard := k.host.lastHeard(u.Life, k.began)
-		grants := k.book.ShouldGrant(now, u.Life, heard)
+		isStuck, failing := k.book.IsStuck(now, u.Life, heard), k.book.FailingFor(now, u.Life)
 		upstreams = append(upstreams, keyed.Upstream{
-			Life: u.Life, Capacity: float64(u.Slots) * speeds[u.ID],
-			IsReady:   u.Phase == realm.Ready && grants && k.book.FailingFor(now, u.Life) == 0 && now.Sub(heard) < k.host.lostAfter(),
+			Life: u.Life, Zone: u.Zone, Capacity: float64(u.Slots) * speeds[u.ID], Failing: failing,
+			IsReady:   u.Phase == realm.Ready && failing == 0 && now.Sub(heard) < k.host.lostAfter(),
 			IsEnded:   u.Ended,
-			IsStuck:   !grants,
+			IsStuck:   isStuck,
 			IsMovable: k.book.IsMovable(now, u.Life),
 			IsLeaver:  u.Phase == realm.Draining || u.Phase == realm.Gone,
 		})
@@ -317,18 +319,20 @@
 	if err != nil {
 		return "", err
 	}
+	if !k.host.givesUp(service, m) {
+		return "", errGaveUp // the keys have got another fence meanwhile
+	}
 	task := k.task(m.Owner)
 	if task == nil {
 		return "", errGaveUp
 	}
 	task.calls.Lock() // no grant of these keys is on its way behind this, and none begins while they move
-	address := task.address
 	task.calls.Unlock()
 	if !k.mayOrder(time.Now()) {
 		return "", errGaveUp
 	}
 	callCtx, cancel := context.WithTimeout(ctx, releaseTime)
-	handover, releaseErr := k.host.orders.Release(callCtx, address, m.Keys, m.Fence)
+	handover, releaseErr := k.orders.Release(callCtx, task.target(), m.Keys, m.Fence)
 	cancel()
 	for ctx.Err() == nil {
 		k.mu.Lock()
@@ -348,12 +352,23 @@
 	return "", errGaveUp
 }
 
+// givesUp reports whether the keys of a move are still what it is about, and requests wait for them.
+func (h *Host) givesUp(service string, m keyed.Move) (isSame bool) {
+	h.Read(func(s *realm.State) {
+		if owned := s.Owned[service]; owned != nil {
+			at := owned.Ranges.At(m.Keys.From)
+			isSame = at != nil && at.Owner == m.Owner && at.Fence == m.Fence && !at.Active
+		}
+	})
+	return isSame
+}
+
 // isEnding reports whether no more grants go to a life.
 func (k *keeper) isEnding(life realm.Life) bool {
 	heard := k.host.lastHeard(life, k.began)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.book.ShouldGrant(time.Now(), life, heard)
+	return k.book.IsStuck(time.Now(), life, heard)
 }
 
 func (k *keeper) task(life realm.Life) *granting {
--- a/internal/keyed/book.go
+++ b/internal/keyed/book.go
@@ -39,7 +39,8 @@
 	answered   time.Time // when an answer last came; the call had arrived by then
 	unanswered time.Time // when a call was last given up; it may have arrived until then, and may be carried out late
 	failing    time.Time // since when no call was taken, zero if the last one was
-	trouble    time.Time // when a call was last given up or refused
+	trouble    time.Time // when a call was last given up, refused or could not be sent
+	unreached  bool      // the last trouble was that there was no connection, so nothing was sent
 	before     *record   // of the life that was at its place before, whose grants may still reach it
 }
 
@@ -76,12 +77,17 @@
 	b.record(life).pending++
 }
 
+// Unsent notes that a grant that was on its way was not sent after all.
+func (b *Book) Unsent(life realm.Life) {
+	b.record(life).pending--
+}
+
 // Answered notes the answer to a grant.
 func (b *Book) Answered(now time.Time, life realm.Life) {
 	r := b.record(life)
 	r.pending--
 	r.answered = now
-	r.failing = time.Time{}
+	r.failing, r.unreached = time.Time{}, false
 }
 
 // Failed notes that a grant was given up.
@@ -96,9 +102,16 @@
 	b.fail(now, b.record(life))
 }
 
+// Unreached notes that a grant could not be sent.
+func (b *Book) Unreached(now time.Time, life realm.Life) {
+	r := b.record(life)
+	b.fail(now, r)
+	r.unreached = true
+}
+
 func (b *Book) fail(now time.Time, r *record) {
 	r.pending--
-	r.trouble = now
+	r.trouble, r.unreached = now, false
 	if r.failing.IsZero() {
 		r.failing = now
 	}
@@ -165,24 +178,35 @@
 	return arrived.IsZero() || now.Sub(arrived) >= b.terms.term()
 }
 
-// Patience with an upstream that answers no grants: it is left alone after a few calls, so that its grants end, or
-// somewhat later if its heartbeats still come.
+// Patience with an upstream that answers no grants: it is given up after a few calls, so that its grants end, or somewhat
+// later if its heartbeats still come.
 const (
 	patience      = 1500 * time.Millisecond
 	patienceHeard = 3 * time.Second
 )
 
-// ShouldGrant reports whether grants are still to be sent to a life whose last heartbeat came at heard.
+// ShouldGrant reports whether grants are still to be sent to a life whose last heartbeat came at heard. Trying to reach
+// one is of no harm: what is not sent prolongs nothing.
 func (b *Book) ShouldGrant(now time.Time, life realm.Life, heard time.Time) bool {
+	r := b.lives[life]
+	return r == nil || r.unreached || !b.IsStuck(now, life, heard)
+}
+
+// IsStuck reports whether a life whose last heartbeat came at heard has taken no grants for so long that its keys are
+// to go to others once its grants have ended.
+func (b *Book) IsStuck(now time.Time, life realm.Life, heard time.Time) bool {
 	r := b.lives[life]
 	if r == nil || r.failing.IsZero() {
-		return true
+		return false
+	}
+	failing := now.Sub(r.failing)
+	if r.unreached {
+		return failing >= patienceHeard || failing >= patience && !heard.After(r.failing)
 	}
 	if b.isOver(now, r.trouble) {
-		return heard.After(r.trouble)
+		return !heard.After(r.trouble)
 	}
-	failing := now.Sub(r.failing)
-	return failing < patience || failing < patienceHeard && heard.After(r.trouble)
+	return failing >= patienceHeard || failing >= patience && !heard.After(r.trouble)
 }
 
 // Forget drops the record of lives that are not known any more.
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -21,12 +21,14 @@
 // Upstream is an upstream of the service as the leader sees it.
 type Upstream struct {
 	Life      realm.Life
-	Capacity  float64 // work that it can do at a time: slots, less for a slow one
-	IsReady   bool    // it takes more keys
-	IsEnded   bool    // its process is known to have ended, so it holds nothing
-	IsStuck   bool    // it answers no grants; its keys are free once its grants have ended
-	IsLeaver  bool    // it is on its way out and gives its keys up
-	IsMovable bool    // keys that it releases are free at once
+	Zone      string
+	Failing   time.Duration // for which it has taken no grants
+	Capacity  float64       // work that it can do at a time: slots, less for a slow one
+	IsReady   bool          // it takes more keys
+	IsEnded   bool          // its process is known to have ended, so it holds nothing
+	IsStuck   bool          // it answers no grants; its keys are free once its grants have ended
+	IsLeaver  bool          // it is on its way out and gives its keys up
+	IsMovable bool          // keys that it releases are free at once
 }
 
 // Move takes keys from an owner that can release them and gives them to another one.
@@ -47,10 +49,13 @@
 type Planner struct {
 	service  string
 	balanced time.Time
+	cut      map[string]time.Time // availability zones by when they were last seen cut off
 }
 
 // NewPlanner returns a planner for a service.
-func NewPlanner(service string) *Planner { return &Planner{service: service} }
+func NewPlanner(service string) *Planner {
+	return &Planner{service: service, cut: make(map[string]time.Time)}
+}
 
 // field is the state of one planning.
 type field struct {
@@ -72,6 +77,9 @@
 	if len(f.ready) == 0 {
 		return plan
 	}
+	for zone := range cutZones(ranges, upstreams) {
+		p.cut[zone] = now
+	}
 	byLife := make(map[realm.Life]Upstream)
 	for _, u := range upstreams {
 		byLife[u.Life] = u
@@ -91,6 +99,7 @@
 			} else if isFree(one.Owner) {
 				plan.Assign = append(plan.Assign, p.share(f, one.Keys, one.Fence, heirPieces)...)
 			}
+		case u.IsStuck && p.isPatient(now, u):
 		case u.IsStuck || u.IsLeaver && isFree(one.Owner):
 			if isFree(one.Owner) {
 				plan.Assign = append(plan.Assign, p.share(f, one.Keys, one.Fence, heirPieces)...)
--- a/internal/keyed/plan_test.go
+++ b/internal/keyed/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -186,3 +187,64 @@
 	}
 	return worst
 }
+
+// Keys of an upstream that is lost alone go to others when its grants have ended; those of a whole zone that is cut off
+// wait for longer than a cut mostly lasts.
+func TestCutZoneKeepsItsKeys(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	upstreams := ready("a", "b", "c", "d")
+	for i := range upstreams {
+		upstreams[i].Zone = []string{"near", "near", "far", "far"}[i]
+	}
+	plan := func(failing time.Duration, lost ...int) Plan {
+		all := slices.Clone(upstreams)
+		for _, i := range lost {
+			all[i].IsReady, all[i].IsStuck, all[i].Failing = false, true, failing
+		}
+		return NewPlanner("s").Plan(now, owned("a", "b", "c", "d"), all, &Loads{}, func(realm.Life) bool { return true }, none)
+	}
+	is.True(len(plan(3*time.Second, 2).Assign) > 0)
+	is.Equal(len(plan(cutPatience-time.Millisecond, 2, 3).Assign), 0)
+	is.True(len(plan(cutPatience, 2, 3).Assign) > 0)
+	is.True(len(plan(3*time.Second, 0, 2, 3).Assign) > 0) // the keys of a, whose zone still takes grants
+}
+
+// When a cut ends, the first owner that takes grants again does not cost the others of its zone their keys.
+func TestHealedZoneKeepsItsKeys(t *testing.T) {
+	is := is.New(t)
+	upstreams := ready("a", "b", "c", "d")
+	for i := range upstreams {
+		upstreams[i].Zone = []string{"near", "near", "far", "far"}[i]
+	}
+	planner := NewPlanner("s")
+	plan := func(now time.Time, lost ...int) Plan {
+		all := slices.Clone(upstreams)
+		for _, i := range lost {
+			all[i].IsReady, all[i].IsStuck, all[i].Failing = false, true, 5*time.Second
+		}
+		return planner.Plan(now, owned("a", "b", "c", "d"), all, &Loads{}, func(realm.Life) bool { return true }, none)
+	}
+	is.Equal(len(plan(start, 2, 3).Assign), 0)
+	is.Equal(len(plan(start.Add(100*time.Millisecond), 3).Assign), 0)
+	is.True(len(plan(start.Add(healTime+100*time.Millisecond), 3).Assign) > 0)
+}
+
+// What could not be sent prolongs no grant, and is tried again until it can be sent.
+func TestUnreachedProlongsNothing(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Hold: 5 * time.Second, Renew: time.Second, Call: time.Second}
+	begin, a := time.Unix(1000, 0), life("a", 1)
+	book := NewBook(begin, terms, nil)
+	book.Sent(a)
+	book.Answered(begin, a)
+	now := begin
+	for ; !book.IsFree(now, a); now = now.Add(500 * time.Millisecond) {
+		is.True(book.ShouldGrant(now, a, begin))
+		book.Sent(a)
+		book.Unreached(now, a)
+	}
+	is.True(now.Sub(begin) < 6*time.Second)
+	is.True(book.IsStuck(now, a, begin))
+	is.True(!book.IsStuck(begin.Add(time.Second), a, begin))
+}
--- a/internal/realm/command.go
+++ b/internal/realm/command.go
@@ -10,6 +10,7 @@
 	Assign []Assign   `json:"assign,omitempty"`
 	Take   []Taken    `json:"take,omitempty"`
 	Forget []Life     `json:"forget,omitempty"`
+	Fence  []Life     `json:"fence,omitempty"` // owners whose keys get a new fence
 }
 
 // Accept puts a configuration in force unless one of the same or a higher version is.
--- a/internal/realm/state.go
+++ b/internal/realm/state.go
@@ -54,6 +54,9 @@
 	for _, one := range command.Forget {
 		s.forget(one)
 	}
+	for _, one := range command.Fence {
+		s.fence(one)
+	}
 	answer, _ := json.Marshal(Answer{Version: s.Version()}) // a struct of one number can't fail to encode
 	return answer
 }
@@ -166,6 +169,19 @@
 	}
 }
 
+// fence gives the keys of an owner a new fence. Those who follow the state need not hear of it: the owner stays.
+func (s *State) fence(owner Life) {
+	for _, owned := range s.Owned {
+		next := slices.Clone(owned.Ranges)
+		for i := range next {
+			if next[i].Owner == owner {
+				next[i].Fence = s.Index
+			}
+		}
+		owned.Ranges = next.joined()
+	}
+}
+
 func (s *State) forget(life Life) {
 	if u := s.Upstreams[life.ID]; u != nil && u.Life == life && u.Phase == Gone {
 		delete(s.Upstreams, life.ID)
