Tell operators of a deployment on the users' platform its state and events, and of copies under repair

Cause: status and timeline knew the product's own settings only, and a replica with an emptied folder showed as a plain replica at once, so that an operator could take a second one down too early.

The log's leader now says of each copy whether it is whole, under repair or silent (paxos.Copies), and status shows it; who does not lead says that it does not know. Hosts on the users' platform serve /status and /timeline beside /metrics; status and timeline read both kinds. Each subcommand has an example in its help.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -128,6 +128,9 @@
 // Failed notes a request without an answer; nothing is learned about the load.
 func (g *Gate[T]) Failed() { g.inFlight-- }
 
+// Busy returns how many requests are in flight and how many wait.
+func (g *Gate[T]) Busy() (inFlight, waiting int) { return g.inFlight, g.queue.Len() }
+
 // Took is how long the upstream takes for a request.
 func (g *Gate[T]) Took() time.Duration {
 	if g.took == 0 {
--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -16,12 +16,13 @@
 
 // command is one subcommand.
 type command struct {
-	name  string
-	short string
-	usage string
-	flags func(*flag.FlagSet)
-	run   func(ctx context.Context, args []string, out io.Writer) error
-	out   io.Writer
+	name    string
+	short   string
+	usage   string
+	example string
+	flags   func(*flag.FlagSet)
+	run     func(ctx context.Context, args []string, out io.Writer) error
+	out     io.Writer
 }
 
 // Register adds all subcommands.
@@ -33,9 +34,10 @@
 		commander.Register(&c, group)
 	}
 	add("try", command{
-		name:  "demo",
-		short: "run a whole deployment in one process for some seconds",
-		usage: "demo",
+		name:    "demo",
+		short:   "run a whole deployment in one process for some seconds",
+		usage:   "demo",
+		example: "demo",
 		run: func(ctx context.Context, _ []string, out io.Writer) error {
 			kept, err := demo.Run(ctx, out)
 			if err == nil && !kept {
@@ -72,7 +74,7 @@
 
 // Usage returns the full help.
 func (c *command) Usage() string {
-	return fmt.Sprintf("lovagelink %s\n  %s\n", c.usage, c.short)
+	return fmt.Sprintf("lovagelink %s\n  %s\n  example: lovagelink %s\n", c.usage, c.short, c.example)
 }
 
 // SetFlags adds the flags.
--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -30,9 +30,10 @@
 	var at, id string
 	var expected uint64
 	return command{
-		name:  "config",
-		short: "show the accepted configuration, check a file, compare it or accept it",
-		usage: "config [--at IP:PORT] [--expected VERSION] [--request-id ID] show | check FILE | diff FILE | accept FILE",
+		name:    "config",
+		short:   "show the accepted configuration, check a file, compare it or accept it",
+		usage:   "config [--at IP:PORT] [--expected VERSION] [--request-id ID] show | check FILE | diff FILE | accept FILE",
+		example: "config accept examples/gauteng.yaml",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&at, "at", defaultOperator, atUsage)
 			flags.Uint64Var(&expected, "expected", 0, "version that the change rests on")
--- a/internal/cmds/hosts.go
+++ b/internal/cmds/hosts.go
@@ -19,9 +19,11 @@
 
 	"lovagelink.example/lovagelink/internal/clock"
 	"lovagelink.example/lovagelink/internal/core"
+	"lovagelink.example/lovagelink/internal/event"
 	"lovagelink.example/lovagelink/internal/front"
 	"lovagelink.example/lovagelink/internal/logs"
 	"lovagelink.example/lovagelink/internal/meter"
+	"lovagelink.example/lovagelink/internal/oper"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/site"
 	"lovagelink.example/lovagelink/platform"
@@ -40,9 +42,13 @@
 	site   site.Host
 	path   string // of the settings
 	writer *logs.Writer
+	line   *event.Line
 	logger log.Logger
 }
 
+// perRequest are the events that come with requests and heartbeats, too many for the time line.
+var perRequest = []string{"request", "attempt-lost", "attempt-misled", "upstream-unreachable", "answer-broken-off", "heartbeat"}
+
 // openProcess reads the settings of a process and sets up its log and its use of memory.
 func openProcess(role string) (*process, error) {
 	signal.Ignore(syscall.SIGHUP) // until the settings are watched
@@ -58,17 +64,26 @@
 	if host.Memory > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(host.Memory)))
 	}
-	p := &process{site: host, path: path, writer: logs.NewWriter(os.Stdout)}
-	p.logger = log.With(logs.Limit(logs.New(p.writer), p.writer, linesPerSec), "host", host.Name, "role", role)
+	p := &process{site: host, path: path, writer: logs.NewWriter(os.Stdout), line: event.NewLine(host.Name, &event.Clock{})}
+	p.logger = logs.Limit(log.With(logs.New(p.writer), "host", host.Name, "role", role), p.writer, linesPerSec)
+	p.logger = event.Logger(p.line, p.logger, perRequest...)
 	_ = p.logger.Log("event", "start", "zone", host.Zone, "first", host.First, "seeds", len(host.Seeds))
 	return p, nil
 }
 
-// serveMetrics serves the numbers of a process on a port of its host until ctx ends; measure gets the meter.
-func (p *process) serveMetrics(ctx context.Context, port uint16, counts, gauges []meter.Number, measure func(*meter.Meter)) error {
+// told is what a process tells operators.
+type told interface {
+	Numbers() (counts, gauges []meter.Number)
+	Overview(now time.Time) oper.Status
+}
+
+// serveOperators serves the numbers, the state and the events of a process on a port of its host until ctx ends;
+// measure gets the meter.
+func (p *process) serveOperators(ctx context.Context, port uint16, of told, measure func(*meter.Meter)) error {
 	if port == 0 {
 		return nil
 	}
+	counts, gauges := of.Numbers()
 	counts = append(counts, meter.Number{
 		Name: "lines-dropped", Help: "lines of the log that were dropped", Read: func(time.Time) int64 { return p.writer.Dropped() },
 	})
@@ -83,9 +98,7 @@
 	if err != nil {
 		return err
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", m)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: controlLimit}
+	server := &http.Server{Handler: oper.NewHandler(m, of.Overview, p.line), ReadHeaderTimeout: controlLimit}
 	context.AfterFunc(ctx, func() { _ = server.Close() }) // a scrape that is cut off comes again
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -121,8 +134,7 @@
 	if err := f.Start(); err != nil {
 		return err
 	}
-	counts, gauges := f.Numbers()
-	if err := p.serveMetrics(ctx, metrics, counts, gauges, f.Measure); err != nil {
+	if err := p.serveOperators(ctx, metrics, f, f.Measure); err != nil {
 		return err
 	}
 	reload(ctx, p.logger, p.path, f.Reload)
@@ -141,9 +153,10 @@
 func controlCommand() command {
 	var metrics uint
 	return command{
-		name:  "control",
-		short: "run a control host, by the settings that " + platform.SettingsVariable + " names",
-		usage: "control [--metrics PORT]",
+		name:    "control",
+		short:   "run a control host, by the settings that " + platform.SettingsVariable + " names",
+		usage:   "control [--metrics PORT]",
+		example: "control --metrics 9464",
 		flags: func(flags *flag.FlagSet) {
 			flags.UintVar(&metrics, "metrics", 0, "port for metrics; 0 for none")
 		},
@@ -177,8 +190,7 @@
 	}
 	host.Start()
 	defer host.Stop()
-	counts, gauges := host.Numbers()
-	if err := p.serveMetrics(ctx, metrics, counts, gauges, nil); err != nil {
+	if err := p.serveOperators(ctx, metrics, host, nil); err != nil {
 		return err
 	}
 	reload(ctx, p.logger, p.path, host.Reload)
--- a/internal/cmds/operate.go
+++ b/internal/cmds/operate.go
@@ -94,9 +94,10 @@
 	var shape, entries, ledgers, page string
 	var settings load.Settings
 	return command{
-		name:  "load",
-		short: "drive callers at a fixed rate and check every answer",
-		usage: "load --shape gauteng|kingston --entries IP:PORT,... [--ledgers IP:PORT,...] [--html FILE]",
+		name:    "load",
+		short:   "drive callers at a fixed rate and check every answer",
+		usage:   "load --shape gauteng|kingston --entries IP:PORT,... [--ledgers IP:PORT,...] [--html FILE]",
+		example: "load --shape gauteng --entries 127.0.0.1:7000 --ledgers 127.0.0.1:9001 --html load.html",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&shape, "shape", "gauteng", "whose work to send")
 			flags.StringVar(&entries, "entries", "", "callers' addresses of entry hosts, separated by commas")
--- a/internal/cmds/quest.go
+++ b/internal/cmds/quest.go
@@ -17,9 +17,10 @@
 func questionnaireCommand() command {
 	var folder string
 	return command{
-		name:  "questionnaire",
-		short: "write a questionnaire, check its answers, or generate configuration and settings from them",
-		usage: "questionnaire new FILE | check FILE | [--folder DIR] generate FILE",
+		name:    "questionnaire",
+		short:   "write a questionnaire, check its answers, or generate configuration and settings from them",
+		usage:   "questionnaire new FILE | check FILE | [--folder DIR] generate FILE",
+		example: "questionnaire check answers.yaml",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&folder, "folder", "run", "where generated files go")
 		},
--- a/internal/cmds/serve.go
+++ b/internal/cmds/serve.go
@@ -40,9 +40,10 @@
 	var path string
 	var metrics uint
 	return command{
-		name:  "entry",
-		short: "run an entry host",
-		usage: "entry [--settings FILE]; without it, by the settings that " + platform.SettingsVariable + " names",
+		name:    "entry",
+		short:   "run an entry host",
+		usage:   "entry [--settings FILE]; without it, by the settings that " + platform.SettingsVariable + " names",
+		example: "entry --settings run/a1.yaml",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&path, "settings", "", "file with the settings of this host")
 			flags.UintVar(&metrics, "metrics", 0, "port for metrics, with the platform's settings; 0 for none")
@@ -77,9 +78,10 @@
 	var s upsim.Settings
 	var address, entries string
 	return command{
-		name:  "upstream",
-		short: "run a stand-in upstream",
-		usage: "upstream --id ID --service NAME --zone ZONE --address IP:PORT --entries IP:PORT,...",
+		name:    "upstream",
+		short:   "run a stand-in upstream",
+		usage:   "upstream --id ID --service NAME --zone ZONE --address IP:PORT --entries IP:PORT,...",
+		example: "upstream --id plan-1 --service plan --zone a --address 127.0.0.1:9001 --entries 127.0.0.1:7001",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&s.ID, "id", "", "name of the upstream")
 			flags.StringVar(&s.Service, "service", "", "service that it serves")
@@ -125,9 +127,10 @@
 	var folder string
 	var hosts, zones, port int
 	return command{
-		name:  "settings",
-		short: "write the settings of entry hosts on loopback addresses",
-		usage: "settings --folder DIR [--hosts N] [--zones N] [--port P]",
+		name:    "settings",
+		short:   "write the settings of entry hosts on loopback addresses",
+		usage:   "settings --folder DIR [--hosts N] [--zones N] [--port P]",
+		example: "settings --folder run --hosts 10 --zones 3",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&folder, "folder", "run", "where the files go")
 			flags.IntVar(&hosts, "hosts", 10, "number of entry hosts")
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -11,30 +12,57 @@
 	"text/tabwriter"
 
 	"lovagelink.example/lovagelink/internal/entry"
+	"lovagelink.example/lovagelink/internal/oper"
+	"lovagelink.example/lovagelink/pkg/paxos"
 )
 
 func statusCommand() command {
 	var at string
 	return command{
-		name:  "status",
-		short: "show hosts, zones, leader, replicas, owners and queues",
-		usage: "status [--at IP:PORT,...]",
+		name:    "status",
+		short:   "show hosts, zones, leader, replicas, owners and queues",
+		usage:   "status [--at IP:PORT,...]",
+		example: "status --at 127.0.0.1:7002,127.0.0.1:7012",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&at, "at", defaultOperator, "operators' addresses, separated by commas; queues are shown for the hosts asked")
 		},
 		run: func(ctx context.Context, _ []string, out io.Writer) error {
-			all, err := askEach[entry.Status](ctx, at, "/status")
-			if len(all) == 0 {
+			answers, err := askEach[json.RawMessage](ctx, at, "/status")
+			if len(answers) == 0 {
 				return err
 			}
 			warn("status", err)
-			slices.SortStableFunc(all, func(a, b entry.Status) int { return cmp.Compare(b.Index, a.Index) })
-			printStatus(out, all)
-			return nil
+			return printAnswers(out, answers)
 		},
 	}
 }
 
+// printAnswers shows what hosts have told, those with the product's own settings apart from those on the users' platform.
+func printAnswers(out io.Writer, answers []json.RawMessage) error {
+	var own []entry.Status
+	var deployed []oper.Status
+	for _, answer := range answers {
+		var status oper.Status
+		if err := json.Unmarshal(answer, &status); err == nil && status.Role != "" {
+			deployed = append(deployed, status)
+			continue
+		}
+		var older entry.Status
+		if err := json.Unmarshal(answer, &older); err != nil {
+			return fmt.Errorf("status can't be read: %w; is this an operators' address of lovagelink?", err)
+		}
+		own = append(own, older)
+	}
+	if len(own) > 0 {
+		slices.SortStableFunc(own, func(a, b entry.Status) int { return cmp.Compare(b.Index, a.Index) })
+		printStatus(out, own)
+	}
+	if len(deployed) > 0 {
+		printDeployed(out, deployed)
+	}
+	return nil
+}
+
 // printStatus shows the state as the first host knows it, which knows the most, with the queues of all.
 func printStatus(out io.Writer, all []entry.Status) {
 	first := all[0]
@@ -55,22 +83,36 @@
 		switch {
 		case name == all[0].Leader:
 			role = "leader"
-		case slices.Contains(replicas, name):
-			role = "replica"
+		default:
+			role = replicas[name]
 		}
 		fmt.Fprintf(table, "%s\t%s\t%v\t%s\t\n", name, host.Zone, host.Up, role)
 	}
 	_ = table.Flush()
 }
 
-// replicasOf lists the replicas, which only hosts that hold one know.
-func replicasOf(all []entry.Status) []string {
+// replicasOf tells of each replica whether its copy is whole, by the word of the leader if it was asked: only it knows.
+func replicasOf(all []entry.Status) map[string]string {
+	roles := make(map[string]string)
 	for _, status := range all {
-		if len(status.Replicas) > 0 {
-			return status.Replicas
+		for name, state := range status.Replicas {
+			if roles[name] == "" || state != paxos.CopyUnknown.String() {
+				roles[name] = roleOf(state)
+			}
 		}
 	}
-	return nil
+	return roles
+}
+
+// roleOf names the role of a host by the state of its copy of the log.
+func roleOf(state string) string {
+	switch state {
+	case paxos.CopyWhole.String():
+		return "replica"
+	case paxos.CopyUnknown.String():
+		return "replica (ask the leader whether it is whole)"
+	}
+	return state
 }
 
 func printUpstreams(out io.Writer, all []entry.Status) {
--- a/internal/cmds/timeline.go
+++ b/internal/cmds/timeline.go
@@ -17,9 +17,10 @@
 	var at, page, since, until string
 	var filter event.Filter
 	return command{
-		name:  "timeline",
-		short: "show the events of all hosts in one order, as text or as a page with a picture",
-		usage: "timeline --at IP:PORT,... [--host NAME] [--kind KIND] [--subject NAME] [--since TIME] [--until TIME] [--html FILE]",
+		name:    "timeline",
+		short:   "show the events of all hosts in one order, as text or as a page with a picture",
+		usage:   "timeline --at IP:PORT,... [--host NAME] [--kind KIND] [--subject NAME] [--since TIME] [--until TIME] [--html FILE]",
+		example: "timeline --at 127.0.0.1:7002,127.0.0.1:7012 --since 10m --html timeline.html",
 		flags: func(flags *flag.FlagSet) {
 			flags.StringVar(&at, "at", defaultOperator, "operators' addresses of the hosts, separated by commas")
 			flags.StringVar(&filter.Host, "host", "", "only events that this host has noted")
--- /dev/null
+++ b/internal/core/overview.go
@@ -0,0 +1,36 @@
+package core
+
+import (
+	"time"
+
+	"lovagelink.example/lovagelink/internal/oper"
+	"lovagelink.example/lovagelink/internal/realm"
+)
+
+// Overview tells operators what this host knows.
+func (h *Host) Overview(now time.Time) oper.Status {
+	replica := h.current().replica
+	status := oper.Status{
+		Host: h.site.Name, Role: "control", Zone: h.site.Zone, Name: h.name,
+		Leader: replica.Status(now).Leader, InTouch: h.inTouch(now), Copies: make(map[string]string),
+	}
+	for name, state := range replica.Copies(now) {
+		status.Copies[name] = state.String()
+	}
+	h.Read(func(s *realm.State) {
+		status.Index, status.Version = s.Index, s.Version()
+		var upstreams []realm.Upstream
+		for _, u := range s.Sorted() {
+			upstreams = append(upstreams, *u)
+		}
+		ranges := make(map[string]realm.Ranges)
+		for _, service := range s.Keyed() {
+			ranges[service] = nil // one of which nobody owns a key is told too
+			if owned := s.Owned[service]; owned != nil {
+				ranges[service] = owned.Ranges
+			}
+		}
+		status.Describe(upstreams, ranges)
+	})
+	return status
+}
--- a/internal/ctrl/leader.go
+++ b/internal/ctrl/leader.go
@@ -83,6 +83,11 @@
 	return l.replica.Status(now)
 }
 
+// Copies returns what the replica knows of the others' copies of the log.
+func (l *Leader) Copies(now time.Time) map[string]paxos.Copy {
+	return l.replica.Copies(now)
+}
+
 // Dead closes when the replica has ended, by Stop or by a failed disk.
 func (l *Leader) Dead() <-chan struct{} {
 	return l.replica.Dead()
--- a/internal/entry/oper.go
+++ b/internal/entry/oper.go
@@ -33,7 +33,7 @@
 	Owned      map[string]int             `json:"owned"`
 	Unowned    int                        `json:"unowned"`
 	Dispatches map[string]disp.Health     `json:"dispatches"`
-	Replicas   []string                   `json:"replicas,omitempty"` // as far as this host holds one
+	Replicas   map[string]string          `json:"replicas,omitempty"` // state of their copies, as far as this host holds one
 	Ranks      []string                   `json:"ranks"`              // the most urgent first
 	Counts     map[string]int64           `json:"counts"`
 }
@@ -65,8 +65,9 @@
 	}
 	h.feed.Read(func(s *state.State) { status.fill(s) })
 	if h.leader != nil {
-		for _, member := range h.leader.Status(now).Members {
-			status.Replicas = append(status.Replicas, member.Name)
+		status.Replicas = make(map[string]string)
+		for name, state := range h.leader.Copies(now) {
+			status.Replicas[name] = state.String()
 		}
 	}
 	return status
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -35,6 +35,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, followLimit)
 		reply, err := peer.Call[core.Followed](callCtx, f.hub, source, "follow", core.Follow{Since: f.view.Load().Index})
 		cancel()
+		f.inTouch.Store(err == nil && reply.InTouch)
 		if err != nil || !reply.InTouch {
 			if f.tomb.Alive() && !isLost {
 				_ = f.logger.Log("event", "control-lost", "source", source, "index", f.view.Load().Index, "reason", err)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,6 +33,7 @@
 	tomb    tomb.Tomb
 	view    atomic.Pointer[View]
 	drains  atomic.Bool
+	inTouch atomic.Bool // with a control host that hears from the leader
 	refuses atomic.Bool // requests, since they would not end before this host does
 	stats   stats
 	meter   atomic.Pointer[meter.Meter]
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -176,6 +176,13 @@
 	return took
 }
 
+// busy returns how many requests are under way there and how many wait here for their turn.
+func (u *upstream) busy() (inFlight, waiting int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.gate.Busy()
+}
+
 // rest returns how much longer the upstream is left alone since it can't be reached.
 func (u *upstream) rest(now time.Time) time.Duration {
 	u.mu.Lock()
--- a/pkg/paxos/store_test.go
+++ b/pkg/paxos/store_test.go
@@ -68,3 +68,49 @@
 		is.True(len(g.books["b"].all()) >= 20-2)
 	})
 }
+
+// A replica with an emptied folder counts as whole only once it votes again: until then a second one must not be taken
+// down.
+func TestCopyIsRepairedBeforeItCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.stopAll()
+		g.propose("first")
+		g.awaitMembers()
+		leader := g.awaitLeader()
+		name := g.names[0]
+		if name == leader.name {
+			name = g.names[1]
+		}
+		await := func(want Copy) {
+			t.Helper()
+			for leader.Copies(time.Now())[name] != want {
+				if !leader.Status(time.Now()).Leading {
+					t.Fatal("another one leads")
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		await(CopyWhole)
+		if leader.Copies(time.Now())[leader.name] != CopyWhole {
+			t.Fatal("the leader does not count as whole")
+		}
+		g.stop(name)
+		await(CopySilent)
+		g.wipe(name)
+		g.start(name)
+		await(CopyRepairing)
+		if g.allVote(leader.Status(time.Now()).Members) {
+			t.Fatal("it is under repair though it votes")
+		}
+		await(CopyWhole)
+		if !g.allVote(leader.Status(time.Now()).Members) {
+			t.Fatal("it counts as whole without a vote")
+		}
+		for _, other := range g.names {
+			if r := g.node(other); r != leader && r.Copies(time.Now())[leader.name] != CopyUnknown {
+				t.Fatal("a replica that does not lead claims to know the others' copies")
+			}
+		}
+	})
+}
