Prefer the own zone wherever nothing is lost by it, and refuse what waits for a takeover at once

Now entry hosts follow the control host of their zone, upstreams are told to send heartbeats to theirs, grants are renewed each 2 s, links whose calls wait for news are not pinged in between, and work without keys stays in the zone as long as it is likely to be on target there.

Requests for keys whose owner was lost waited up to 1.5 s, mostly until their callers had left. A move takes some 100 ms, a takeover seconds; how long keys have been without an owner tells them apart, and what waits for a takeover is refused at once.

--- a/internal/cmds/hosts.go
+++ b/internal/cmds/hosts.go
@@ -126,6 +126,7 @@
 		return trace.BadParameter("an entry host needs an address for callers, one for the balancer, and seeds")
 	}
 	hub := peer.NewOpen(peer.TCP{}, p.site.Name, netip.AddrPort{})
+	hub.PingAfter(front.FollowTime)
 	if err := hub.Start(); err != nil {
 		return err
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,7 @@
 	seat    *seat
 	guests  map[string]time.Time // hosts that have asked to become replicas, by when they last did
 	hearing *hearing
+	zones   map[string]string    // of control hosts, by name
 	callers map[string]time.Time // hosts that carry traffic, by when they last reported
 	loads   map[string]*keyed.Loads
 	speeds  *keyed.Speeds
@@ -57,7 +58,7 @@
 	h := &Host{
 		site: host, seeds: host.Seeds, name: host.PeerName(host.Control), hub: hub, orders: orders, guard: guard, logger: logger,
 		guests: make(map[string]time.Time), hearing: newHearing(),
-		callers: make(map[string]time.Time), loads: make(map[string]*keyed.Loads), speeds: keyed.NewSpeeds(),
+		zones: map[string]string{host.PeerName(host.Control): host.Zone}, callers: make(map[string]time.Time), loads: make(map[string]*keyed.Loads), speeds: keyed.NewSpeeds(),
 	}
 	if err := h.open(now); err != nil {
 		return nil, err
@@ -67,6 +68,7 @@
 	peer.On(hub, "current", h.handleCurrent)
 	peer.On(hub, "heard", h.handleHeard)
 	peer.On(hub, "hello", h.handleHello)
+	peer.On(hub, "zone", h.handleZone)
 	peer.On(hub, "follow", h.handleFollow)
 	peer.On(hub, "report", h.handleReport)
 	return h, nil
@@ -77,6 +79,7 @@
 	h.current().replica.Start()
 	h.tomb.Go(h.attend)
 	h.tomb.Go(h.greet)
+	h.tomb.Go(h.survey)
 	h.tomb.Go(h.passOn)
 	h.tomb.Go(h.lead)
 }
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -22,7 +22,7 @@
 // Followed is what has changed. A host that is not in touch with the leader has nothing to say.
 type Followed struct {
 	InTouch bool         `json:"in-touch"`
-	Members []string     `json:"members"` // control hosts that can be followed
+	Members []Member     `json:"members"` // control hosts that can be followed
 	Update  realm.Update `json:"update"`
 }
 
@@ -34,7 +34,7 @@
 		feed.Await(ctx, args.Since)
 	}
 	now := time.Now()
-	return Followed{InTouch: h.inTouch(now), Members: h.members(now), Update: feed.Since(args.Since)}, nil
+	return Followed{InTouch: h.inTouch(now), Members: h.neighbours(now), Update: feed.Since(args.Since)}, nil
 }
 
 // Report is what a host that carries traffic has counted since its last report.
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -19,7 +19,7 @@
 // of all control hosts, which takes about 3 s; an upstream that is lost keeps its keys from others for as long.
 const (
 	holdTime    = 5 * time.Second
-	renewGap    = time.Second
+	renewGap    = 2 * time.Second // a takeover of the leadership within 2 s still finds a second left
 	grantLimit  = time.Second
 	releaseTime = 4 * time.Second // work under way ends before a release is answered
 	planGap     = 100 * time.Millisecond
--- a/internal/core/seat.go
+++ b/internal/core/seat.go
@@ -29,6 +29,7 @@
 func timing() paxos.Timing {
 	t := paxos.DefaultTiming()
 	t.Lease = 700 * time.Millisecond
+	t.Heartbeat = 150 * time.Millisecond // each one crosses zones; four are lost before a lease ends
 	t.SnapshotEvery = snapshotEvery
 	return t
 }
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"slices"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/admit"
@@ -16,22 +14,20 @@
 // Following: a control host answers within a second, with something new or with nothing. One that is silent for longer
 // is left for the next one, well within the time in which a change must be in force.
 const (
+	FollowTime  = 1200 * time.Millisecond // in which a control host in order has answered
 	followLimit = 1400 * time.Millisecond
 	followGap   = 50 * time.Millisecond
 	reportGap   = time.Second
 	reportLimit = 500 * time.Millisecond
+	speedTurns  = 4 // reports of which one tells how fast upstreams are, which changes less than the load
 )
 
 // follow keeps the view up to date from one control host, and goes on to the next when that one is not in touch.
 func (f *Front) follow() error {
 	ctx := f.tomb.Context(context.Background())
-	hash := fnv.New32a()
-	hash.Write([]byte(f.site.Name))
-	turn := int(hash.Sum32() % 97)
 	isLost := false
 	for f.tomb.Alive() {
-		controls := f.knownControls()
-		source := controls[turn%len(controls)]
+		source := f.source(time.Now())
 		callCtx, cancel := context.WithTimeout(ctx, followLimit)
 		reply, err := peer.Call[core.Followed](callCtx, f.hub, source, "follow", core.Follow{Since: f.view.Load().Index})
 		cancel()
@@ -41,7 +37,9 @@
 				_ = f.logger.Log("event", "control-lost", "source", source, "index", f.view.Load().Index, "reason", err)
 				isLost = true
 			}
-			turn++
+			f.mu.Lock()
+			f.sources.fail(time.Now(), source)
+			f.mu.Unlock()
 			pause.For(ctx, followGap)
 			continue
 		}
@@ -54,10 +52,17 @@
 	return nil
 }
 
+// source returns the control host to follow next.
+func (f *Front) source(now time.Time) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sources.pick(now)
+}
+
 func (f *Front) knownControls() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.Clone(f.controls)
+	return f.sources.names()
 }
 
 // learn takes in what a control host has told.
@@ -66,10 +71,8 @@
 	next := old.With(now, reply.Update)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, name := range reply.Members {
-		if !slices.Contains(f.controls, name) {
-			f.controls = append(f.controls, name)
-		}
+	for _, member := range reply.Members {
+		f.sources.add(member)
 	}
 	if next == old {
 		return
@@ -118,9 +121,11 @@
 		counts := f.counts
 		f.counts = make(map[string]map[int]int)
 		speeds := make(map[string]time.Duration)
-		for life, u := range f.upstreams {
-			if took := u.tookCalm(); took > 0 {
-				speeds[life.ID] = took
+		if turn%speedTurns == 0 {
+			for life, u := range f.upstreams {
+				if took := u.tookCalm(); took > 0 {
+					speeds[life.ID] = took.Round(time.Millisecond)
+				}
 			}
 		}
 		f.mu.Unlock()
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -5,14 +5,14 @@
 	"net/http"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/admit"
 	"lovagelink.example/lovagelink/internal/route"
 )
 
 // Limits of what is done for one request.
 const (
 	maxSends    = 4                       // times that one request is sent, whatever its route allows
-	ownerWait   = 1500 * time.Millisecond // for keys that change hands; a release waits for the work under way
-	farCost     = 1.3                     // of an upstream in another zone: bytes between zones are dear, and few of them are saved where it is busy
+	ownerWait   = 600 * time.Millisecond // for keys that change hands; a release waits for the work under way, of some 100 ms
 	leastUseful = 5 * time.Millisecond    // less time than this is of no use to an upstream
 )
 
@@ -113,6 +113,12 @@
 		if ready, _ := view.Usable(c.service.Name); len(ready) == 0 {
 			return nil, c.refuse(unknownAfter, "no upstream of the service is known")
 		}
+		if _, _, ok := view.Owner(now, c.service.Name, c.marks.Key); !ok {
+			// What takes longer than a move is a takeover, which waits until grants end that can't be taken back.
+			if view.OwnerlessFor(now, c.service.Name, c.marks.Key) >= ownerWait {
+				return nil, c.refuse(takeoverAfter, "the keys wait for their next owner")
+			}
+		}
 		timer := time.NewTimer(min(end.Sub(now), lackLook))
 		select {
 		case <-changed:
@@ -127,34 +133,26 @@
 	}
 }
 
+// takeoverAfter is when to come back for a key whose owner was lost; a takeover lasts some seconds.
+const takeoverAfter = time.Second
+
 // chooseAny returns the upstream that would answer soonest, leaving out those that the request was sent to.
 func (f *Front) chooseAny(now time.Time, c *call) (*upstream, *outcome) {
 	ready, lostOnes := f.view.Load().Usable(c.service.Name)
-	var best *upstream
-	var bestCost time.Duration
-	consider := func(known Known, evenTried bool) {
-		if c.tried[known.ID] != evenTried {
-			return
-		}
-		u := f.at(known.Upstream)
-		if u.rest(now) > 0 {
-			return
-		}
-		cost := u.cost(now)
-		if known.Zone != f.site.Zone {
-			cost = time.Duration(farCost * float64(cost))
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = u, cost
-		}
-	}
+	left := c.x.Arrived.Add(c.route.Target).Sub(now)
 	for _, evenTried := range []bool{false, true} {
 		for _, group := range [][]Known{ready, lostOnes} {
+			var candidates []admit.Candidate
+			var at []*upstream
 			for _, known := range group {
-				consider(known, evenTried)
+				u := f.at(known.Upstream)
+				if c.tried[known.ID] == evenTried && u.rest(now) == 0 {
+					candidates = append(candidates, admit.Candidate{IsNear: known.Zone == f.site.Zone, Cost: u.cost(now)})
+					at = append(at, u)
+				}
 			}
-			if best != nil {
-				return best, nil
+			if best, ok := admit.Choose(candidates, left); ok {
+				return at[best], nil
 			}
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +14,7 @@
 	"gopkg.in/tomb.v2"
 
 	"lovagelink.example/lovagelink/internal/admit"
+	"lovagelink.example/lovagelink/internal/core"
 	"lovagelink.example/lovagelink/internal/http1"
 	"lovagelink.example/lovagelink/internal/meter"
 	"lovagelink.example/lovagelink/internal/pause"
@@ -45,7 +46,7 @@
 	budgets   map[string]*admit.Budget
 	counts    map[string]map[int]int // requests by service and part of the keys since the last report
 	hosts     int                    // that carry traffic
-	controls  []string
+	sources   *sources
 }
 
 // hostsAtFirst is how many hosts share what is allowed to all, until the leader has told.
@@ -60,9 +61,9 @@
 		counts: make(map[string]map[int]int), hosts: hostsAtFirst,
 	}
 	f.view.Store(&View{})
-	for _, seed := range host.Seeds {
-		f.controls = append(f.controls, host.PeerName(seed))
-	}
+	hash := fnv.New32a()
+	hash.Write([]byte(host.Name))
+	f.sources = newSources(host.Zone, int(hash.Sum32()%97), seedNames(host))
 	f.server = http1.NewServer(f.serve, f.limits)
 	return f
 }
@@ -134,14 +135,19 @@
 	return l
 }
 
+func seedNames(host site.Host) (names []string) {
+	for _, seed := range host.Seeds {
+		names = append(names, host.PeerName(seed))
+	}
+	return names
+}
+
 // Reload takes in changed settings: the control hosts that the seeds name are added to those that are known.
 func (f *Front) Reload(host site.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, seed := range host.Seeds {
-		if name := host.PeerName(seed); !slices.Contains(f.controls, name) {
-			f.controls = append(f.controls, name)
-		}
+	for _, name := range seedNames(host) {
+		f.sources.add(core.Member{Name: name})
 	}
 }
 
--- /dev/null
+++ b/internal/front/sources_test.go
@@ -0,0 +1,34 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"lovagelink.example/lovagelink/internal/core"
+)
+
+// Control hosts of the own zone are followed first, the others in turn while those can't be.
+func TestSourcesOfOwnZoneFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := newSources("b", 1, []string{"x", "y", "z"})
+	is.Equal(s.pick(now), "y") // no zone is known yet
+	for name, zone := range map[string]string{"x": "a", "y": "c", "z": "b"} {
+		s.add(core.Member{Name: name, Zone: zone})
+	}
+	s.add(core.Member{Name: "z"}) // one who does not know its zone takes nothing away
+	is.Equal(s.pick(now), "z")
+	seen := map[string]int{}
+	for range 4 {
+		name := s.pick(now)
+		seen[name]++
+		s.fail(now, name)
+		now = now.Add(time.Millisecond)
+	}
+	is.Equal(seen, map[string]int{"x": 1, "y": 1, "z": 2}) // each has its turn
+	s.fail(now, "z")
+	is.True(s.pick(now.Add(time.Second)) != "z")
+	is.Equal(s.pick(now.Add(nearAgain)), "z")
+}
--- a/internal/front/view.go
+++ b/internal/front/view.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"slices"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/realm"
@@ -13,8 +14,19 @@
 	Table     *route.Table // nil until a configuration is known
 	Upstreams map[string]Known
 	Ranges    map[string]realm.Ranges // by service
+
+	learned []learned // when this host came to the latest positions, the oldest first
+}
+
+// learned is when this host came to a position of the log.
+type learned struct {
+	index uint64
+	at    time.Time
 }
 
+// learnedKept is how many positions are kept: those of the last seconds, at some changes a second.
+const learnedKept = 64
+
 // Known is an upstream, and when this host learned that it is in its phase.
 type Known struct {
 	realm.Upstream
@@ -30,6 +42,7 @@
 		return v
 	}
 	next := &View{Index: update.Index, Table: v.Table, Upstreams: v.Upstreams, Ranges: v.Ranges}
+	next.learned = append(slices.Clone(v.learned[max(0, len(v.learned)-learnedKept+1):]), learned{update.Index, now})
 	if update.Config != nil && (v.Table == nil || update.Config.Version > v.Table.Config.Version) {
 		next.Table = route.NewTable(update.Config)
 	}
@@ -75,6 +88,38 @@
 	return u, one.Fence, !u.IsLeaving() || now.Sub(u.Learned) < leaverGrace
 }
 
+// OwnerlessFor returns for how long a key that nobody serves has been so, as far as this host knows.
+func (v *View) OwnerlessFor(now time.Time, service string, key uint16) time.Duration {
+	one := v.Ranges[service].At(key)
+	switch {
+	case one == nil:
+		return now.Sub(v.reached(v.Index))
+	case !one.Active:
+		return now.Sub(v.reached(one.Changed))
+	}
+	u, ok := v.Upstreams[one.Owner.ID]
+	switch {
+	case !ok:
+		return now.Sub(v.reached(one.Changed))
+	case u.IsLeaving() && !u.Ended:
+		return now.Sub(u.Learned) - leaverGrace
+	}
+	return now.Sub(u.Learned)
+}
+
+// reached returns when this host came to a position of the log; one that is long past is the zero time.
+func (v *View) reached(index uint64) time.Time {
+	for i, one := range v.learned {
+		if one.index >= index && i == 0 && len(v.learned) == learnedKept {
+			break
+		}
+		if one.index >= index {
+			return one.at
+		}
+	}
+	return time.Time{}
+}
+
 // Usable returns the upstreams of a service that take new requests: those that are ready, and those that control hosts
 // have not heard for a while, which may still be reached from here.
 func (v *View) Usable(service string) (ready, lost []Known) {
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -39,7 +39,8 @@
 	network  Network
 	address  netip.AddrPort
 	handlers map[string]Handler
-	open     bool // names are addresses, and hosts become known as they are called
+	open     bool          // names are addresses, and hosts become known as they are called
+	quiet    time.Duration // after which a link on which calls wait is pinged
 	tomb     tomb.Tomb
 
 	mu       sync.Mutex
@@ -54,6 +55,7 @@
 		network:  network,
 		address:  addresses[name],
 		handlers: make(map[string]Handler),
+		quiet:    pingPeriod,
 		links:    make(map[string]*link),
 		incoming: make(map[*jsonrpc2.Conn]struct{}),
 	}
@@ -74,6 +76,10 @@
 	return h
 }
 
+// PingAfter sets how long a link on which calls wait is silent before it is pinged. Those whose calls wait for news for
+// a second by design need no pings in between.
+func (h *Hub) PingAfter(quiet time.Duration) { h.quiet = quiet }
+
 // Handle sets the handler of a method.
 func (h *Hub) Handle(method string, handler Handler) {
 	h.handlers[method] = handler
--- a/internal/peer/keep.go
+++ b/internal/peer/keep.go
@@ -51,7 +51,7 @@
 			if l.isIdle(now) {
 				return nil
 			}
-			if !l.isQuiet(now) {
+			if !l.isQuiet(now, h.quiet) {
 				continue
 			}
 			if err := h.ping(l, conn); err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// isQuiet reports whether calls wait and nothing has been heard for a ping period.
-func (l *link) isQuiet(now time.Time) bool {
+// isQuiet reports whether calls wait and nothing has been heard for a while.
+func (l *link) isQuiet(now time.Time, quiet time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.pending > 0 && now.Sub(l.heard) >= pingPeriod
+	return l.pending > 0 && now.Sub(l.heard) >= quiet
 }
 
 // isIdle reports whether nobody has used the link for a while.
