Give fast upstreams more keys while there is room

Keys were shared by what each can do, so a slow one got its part also when others were idle, and a view of 160 ms is late there in one case of four. Ruled out: queues (two thirds of all slots were free) and cold keys (none).

The capacity of an upstream now counts with a power of its speed that falls to nothing near full use, where full use leaves the square root of the slots free.

Also: a host that is asked for the configuration asks the leader for its version only if it holds it.

--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -222,7 +222,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var upstreams []keyed.Upstream
-	speeds := k.host.speedsOf(s, service)
+	speeds, bias := k.host.speedsOf(now, s, service)
 	for _, u := range s.Sorted() {
 		if u.Service != service {
 			continue
@@ -230,7 +230,7 @@
 		heard := k.host.lastHeard(u.Life, k.began)
 		isStuck, failing := k.book.IsStuck(now, u.Life, heard), k.book.FailingFor(now, u.Life)
 		upstreams = append(upstreams, keyed.Upstream{
-			Life: u.Life, Zone: u.Zone, Capacity: float64(u.Slots) * speeds[u.ID], Failing: failing,
+			Life: u.Life, Zone: u.Zone, Capacity: keyed.Capacity(float64(u.Slots), speeds[u.ID], bias), Failing: failing,
 			IsReady:   u.Phase == realm.Ready && failing == 0 && now.Sub(heard) < k.host.lostAfter(),
 			IsEnded:   u.Ended,
 			IsStuck:   isStuck,
@@ -262,16 +262,27 @@
 	return plan
 }
 
-func (h *Host) speedsOf(s *realm.State, service string) map[string]float64 {
+// speedsOf returns the speeds of the upstreams of a service, and by how much the fast ones are preferred at present.
+func (h *Host) speedsOf(now time.Time, s *realm.State, service string) (map[string]float64, float64) {
 	var ids []string
+	slots := 0
 	for _, u := range s.Sorted() {
 		if u.Service == service && u.Phase == realm.Ready {
 			ids = append(ids, u.ID)
+			slots += u.Slots
 		}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.speeds.Of(ids)
+	speeds := h.speeds.Of(ids)
+	capacity := 0.0
+	for _, u := range s.Upstreams {
+		if speed, ok := speeds[u.ID]; ok {
+			capacity += float64(u.Slots) * speed
+		}
+	}
+	demand := h.loadsOf(service).Rate(now) * h.speeds.Median(ids).Seconds()
+	return speeds, keyed.Bias(demand, capacity, float64(slots)/float64(max(1, len(ids))))
 }
 
 func (h *Host) forgetSpeed(id string) {
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -59,25 +59,44 @@
 	return err
 }
 
-// newest is the newest configuration as the operator sent it.
+// held is the version that a host holds when it asks for the newest one.
+type held struct {
+	Version uint64 `json:"version"`
+}
+
+// newest is the newest configuration as the operator sent it; without its body for a host that holds it.
 type newest struct {
-	OK     bool   `json:"ok"`
-	Leader string `json:"leader,omitempty"`
-	Body   []byte `json:"body,omitempty"`
+	OK      bool   `json:"ok"`
+	Leader  string `json:"leader,omitempty"`
+	Version uint64 `json:"version"`
+	Body    []byte `json:"body,omitempty"`
 }
 
 // Current returns the newest configuration as the operator sent it, by the word of the leader.
 func (h *Host) Current(ctx context.Context, _ time.Time) ([]byte, error) {
-	reply, err := askLeader(ctx, h, "current", struct{}{}, func(r newest) (bool, string) { return r.OK, r.Leader })
-	if err == nil && reply.Body == nil {
+	var own held
+	var body []byte
+	h.Read(func(s *realm.State) { own.Version, body = s.Version(), s.Body })
+	reply, err := askLeader(ctx, h, "current", own, func(r newest) (bool, string) { return r.OK, r.Leader })
+	switch {
+	case err != nil:
+		return nil, err
+	case reply.Version == 0:
 		return nil, ErrNotSure
+	case reply.Version == own.Version:
+		return body, nil
 	}
-	return reply.Body, err
+	return reply.Body, nil
 }
 
-func (h *Host) handleCurrent(context.Context, string, struct{}) (newest, error) {
+func (h *Host) handleCurrent(_ context.Context, _ string, asker held) (newest, error) {
 	var reply newest
-	h.Read(func(s *realm.State) { reply.Body = s.Body })
+	h.Read(func(s *realm.State) {
+		reply.Version = s.Version()
+		if reply.Version != asker.Version {
+			reply.Body = s.Body
+		}
+	})
 	status, leads := h.leads(time.Now()) // asked after the state was read, so that no later leader can have changed it
 	if !leads {
 		return newest{Leader: status.Leader}, nil
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -11,9 +11,9 @@
 
 // Limits of what is done for one request.
 const (
-	maxSends    = 4                       // times that one request is sent, whatever its route allows
+	maxSends    = 4                      // times that one request is sent, whatever its route allows
 	ownerWait   = 600 * time.Millisecond // for keys that change hands; a release waits for the work under way, of some 100 ms
-	leastUseful = 5 * time.Millisecond    // less time than this is of no use to an upstream
+	leastUseful = 5 * time.Millisecond   // less time than this is of no use to an upstream
 )
 
 // result is what became of one attempt.
--- a/internal/keyed/loads.go
+++ b/internal/keyed/loads.go
@@ -25,6 +25,7 @@
 // Loads is how many requests each part of the keys of one service gets.
 type Loads struct {
 	counts [Buckets]float64
+	began  time.Time // of the counting
 	at     time.Time
 }
 
@@ -36,6 +37,9 @@
 			l.counts[i] *= decay
 		}
 	}
+	if l.at.IsZero() {
+		l.began = now
+	}
 	l.at = now
 	for bucket, count := range counts {
 		if bucket >= 0 && bucket < Buckets {
@@ -44,6 +48,23 @@
 	}
 }
 
+// Rate returns the requests a second, lately.
+func (l *Loads) Rate(now time.Time) float64 {
+	total := 0.0
+	for _, count := range l.counts {
+		total += count
+	}
+	if total == 0 || l.at.Sub(l.began) < halfLife {
+		return 0 // too few counts to go by
+	}
+	total *= math.Exp2(-float64(now.Sub(l.at)) / float64(halfLife))
+	counted := 1 - math.Exp2(-float64(l.at.Sub(l.began)+firstCounted)/float64(halfLife))
+	return total / counted * math.Ln2 / halfLife.Seconds()
+}
+
+// firstCounted is the time that the first counts are taken to be of: hosts report each second.
+const firstCounted = time.Second
+
 // weights returns the load of each bucket, in shares of the whole.
 func (l *Loads) weights() [Buckets]float64 {
 	total := 0.0
--- a/internal/keyed/speed.go
+++ b/internal/keyed/speed.go
@@ -33,20 +33,29 @@
 // Forget drops what is known of an upstream, as when another life has begun under its id.
 func (s *Speeds) Forget(id string) { delete(s.took, id) }
 
-// Of returns the speeds of the upstreams of one service, 1 for the median and for those of which nothing is known.
-func (s *Speeds) Of(ids []string) map[string]float64 {
+// Median returns how long the median upstream takes, 0 if nothing is known.
+func (s *Speeds) Median(ids []string) time.Duration {
 	var known []time.Duration
 	for _, id := range ids {
 		if took := s.took[id]; took > 0 {
 			known = append(known, took)
 		}
 	}
-	speeds := make(map[string]float64, len(ids))
+	if len(known) == 0 {
+		return 0
+	}
 	slices.Sort(known)
+	return known[len(known)/2]
+}
+
+// Of returns the speeds of the upstreams of one service, 1 for the median and for those of which nothing is known.
+func (s *Speeds) Of(ids []string) map[string]float64 {
+	median := s.Median(ids)
+	speeds := make(map[string]float64, len(ids))
 	for _, id := range ids {
 		speeds[id] = 1
 		if took := s.took[id]; took > 0 {
-			speeds[id] = min(max(float64(known[len(known)/2])/float64(took), leastSpeed), mostSpeed)
+			speeds[id] = min(max(float64(median)/float64(took), leastSpeed), mostSpeed)
 		}
 	}
 	return speeds
