Free the keys of an upstream at once whose address another one has

Grants name their upstream now and the new one refuses them, so the wait is over as soon as the new one has registered.

A heartbeat for a service that no configuration names no longer registers anything: it may come from anybody, and would have ended the upstream at the address that it names. Found while reading.

Tests: TestKeysOfAReplacedOwnerAreSharedAtOnce, TestStrangeServiceEndsNobody.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -262,6 +262,26 @@
 	is.Equal(reply.Hosts, 2)
 }
 
+// A heartbeat for a service that no configuration names registers nothing, and ends nobody at the address that it names.
+func TestStrangeServiceEndsNobody(t *testing.T) {
+	is := is.New(t)
+	h := alone(t, 7, newUpstreams())
+	ctx := context.Background()
+	is.NoErr(h.Accept(ctx, time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
+	sound := upstreamOf(40)
+	is.NoErr(h.Beat(ctx, time.Now(), sound, 1))
+	strange := sound
+	strange.Life, strange.Service = realm.Life{ID: "strange", Born: 99}, "other"
+	is.NoErr(h.Beat(ctx, time.Now(), strange, 1))
+	h.Read(func(s *realm.State) {
+		is.True(s.Upstreams["strange"] == nil)
+		is.True(!s.Upstreams[sound.ID].Ended)
+	})
+	is.NoErr(h.Accept(ctx, time.Now(), route.Config{Version: 2, Services: []route.Service{{Name: "s", Keyed: true}, {Name: "other"}}}, []byte("2")))
+	is.NoErr(h.Beat(ctx, time.Now(), strange, 2))
+	h.Read(func(s *realm.State) { is.True(s.Upstreams["strange"] != nil) })
+}
+
 // Heartbeats of an earlier life, and those that were overtaken, change nothing.
 func TestLateHeartbeats(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/hear.go
+++ b/internal/core/hear.go
@@ -46,6 +46,11 @@
 	if !h.inTouch(now) {
 		return ErrNotSure
 	}
+	if !h.mayRegister(upstream) {
+		_ = h.logger.Log("event", "heartbeat", "upstream", upstream.ID, "born", upstream.Born, "outcome", "ignored",
+			"reason", "no configuration names its service", "service", upstream.Service)
+		return nil // registered with a later heartbeat if its service comes to be
+	}
 	h.mu.Lock()
 	isNewest := h.hearing.note(now, upstream.Life, sequence)
 	h.mu.Unlock()
@@ -75,6 +80,16 @@
 	return nil
 }
 
+// mayRegister reports whether an upstream is registered, or the configuration names its service or is not known yet.
+// What names another service may come from anybody, and must not take the place of an upstream at the address that it
+// names.
+func (h *Host) mayRegister(upstream realm.Upstream) (may bool) {
+	h.Read(func(s *realm.State) {
+		may = s.Upstreams[upstream.ID] != nil || s.Config == nil || s.Config.ServiceNamed(upstream.Service) != nil
+	})
+	return may
+}
+
 // Leave takes in that an upstream is going.
 func (h *Host) Leave(ctx context.Context, now time.Time, id string) error {
 	if !h.inTouch(now) {
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -25,7 +25,7 @@
 	Failing   time.Duration // for which it has taken no grants
 	Capacity  float64       // work that it can do at a time: slots, less for a slow one
 	IsReady   bool          // it takes more keys
-	IsEnded   bool          // its process is known to have ended, so it holds nothing
+	IsEnded   bool          // its process has ended, since another upstream has its address; it holds nothing
 	IsStuck   bool          // it answers no grants; its keys are free once its grants have ended
 	IsLeaver  bool          // it is on its way out and gives its keys up
 	IsMovable bool          // keys that it releases are free at once
@@ -91,7 +91,10 @@
 		u, isKnown := byLife[one.Owner]
 		switch {
 		case isMoving(one.Keys):
-		case !isKnown || u.IsEnded:
+		case u.IsEnded:
+			// Another upstream has its address and refuses what was sent to it.
+			plan.Assign = append(plan.Assign, p.share(f, one.Keys, one.Fence, heirPieces)...)
+		case !isKnown:
 			// A grant to the ended life may be on its way, and reach the one that has its place.
 			if next, ok := f.successor(one.Owner); ok {
 				f.load[next] += weightOf(&f.weights, one.Keys)
--- a/internal/keyed/plan_test.go
+++ b/internal/keyed/plan_test.go
@@ -94,6 +94,20 @@
 	}
 }
 
+// The keys of one whose address another upstream has are shared at once, whatever was sent to it.
+func TestKeysOfAReplacedOwnerAreSharedAtOnce(t *testing.T) {
+	is := is.New(t)
+	book := NewBook(start, terms, []realm.Life{life("a", 1)})
+	book.Sent(life("a", 1))
+	upstreams := append(ready("b", "c"), Upstream{Life: life("a", 1), IsEnded: true, IsLeaver: true})
+	plan := NewPlanner("s").Plan(start, owned("a", "b", "c"), upstreams, &Loads{},
+		func(l realm.Life) bool { return book.IsFree(start, l) }, none)
+	is.True(len(plan.Assign) > 0)
+	for _, one := range plan.Assign {
+		is.True(one.Owner.ID != "a")
+	}
+}
+
 // A process that refuses grants, since it has the address of one that has ended, is sent none after a while, and the keys
 // are free once the last grant that was taken is over.
 func TestRefusedGrantsEnd(t *testing.T) {
