Log upstreams that are stuck, and count one that returns as heard

The leader counts those as heard that another host has it register.

Test: TestReturnIsHeardByTheLeader (fails without the change).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -262,6 +262,19 @@
 	is.Equal(reply.Hosts, 2)
 }
 
+// An upstream that was lost and is heard again by another host counts as heard by the leader, which would otherwise take
+// it for lost once more until the next word on heartbeats comes.
+func TestReturnIsHeardByTheLeader(t *testing.T) {
+	is := is.New(t)
+	h := alone(t, 8, newUpstreams())
+	u := upstreamOf(50)
+	before := time.Now()
+	reply, err := h.handleOrder(context.Background(), "core-2", realm.Command{Join: []realm.Upstream{u}})
+	is.NoErr(err)
+	is.True(reply.OK)
+	is.True(!h.lastHeard(u.Life, time.Time{}).Before(before))
+}
+
 // A heartbeat for a service that no configuration names registers nothing, and ends nobody at the address that it names.
 func TestStrangeServiceEndsNobody(t *testing.T) {
 	is := is.New(t)
--- a/internal/core/hear.go
+++ b/internal/core/hear.go
@@ -122,6 +122,15 @@
 	return true, nil
 }
 
+// hear notes upstreams that another host has just heard.
+func (h *Host) hear(now time.Time, upstreams []realm.Upstream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, u := range upstreams {
+		h.hearing.last[u.Life] = now
+	}
+}
+
 // passOn tells the leader which upstreams this host has heard.
 func (h *Host) passOn() error {
 	ctx := h.tomb.Context(context.Background())
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -47,6 +47,7 @@
 	seen     map[realm.Life]bool
 	places   map[string]realm.Life    // the newest life that was seen at each id and each address
 	gone     map[realm.Life]time.Time // when an upstream was first seen gone
+	stuck    map[realm.Life]bool      // upstreams that take no grants, so that their keys are to go to others
 }
 
 // move is keys on their way from one owner to another.
@@ -91,6 +92,7 @@
 		terms:    keyed.Terms{Hold: min(holdTime, h.site.Bounds.HoldMax), Renew: renewGap, Call: grantLimit},
 		planners: make(map[string]*keyed.Planner), tasks: make(map[realm.Life]*granting),
 		moving: make(map[move]bool), seen: make(map[realm.Life]bool), places: make(map[string]realm.Life), gone: make(map[realm.Life]time.Time),
+		stuck: make(map[realm.Life]bool),
 	}
 	var owners []realm.Life
 	h.Read(func(s *realm.State) {
@@ -229,6 +231,7 @@
 		}
 		heard := k.host.lastHeard(u.Life, k.began)
 		isStuck, failing := k.book.IsStuck(now, u.Life, heard), k.book.FailingFor(now, u.Life)
+		k.tellStuck(now, u.Life, isStuck && !u.Ended, failing, heard)
 		upstreams = append(upstreams, keyed.Upstream{
 			Life: u.Life, Zone: u.Zone, Capacity: keyed.Capacity(float64(u.Slots), speeds[u.ID], bias), Failing: failing,
 			IsReady:   u.Phase == realm.Ready && failing == 0 && now.Sub(heard) < k.host.lostAfter(),
@@ -262,6 +265,22 @@
 	return plan
 }
 
+// tellStuck logs when an upstream begins to be one whose keys are to go to others, and when it takes grants again.
+func (k *keeper) tellStuck(now time.Time, life realm.Life, isStuck bool, failing time.Duration, heard time.Time) {
+	if k.stuck[life] == isStuck {
+		return
+	}
+	if !isStuck {
+		delete(k.stuck, life)
+		_ = k.host.logger.Log("event", "upstream-answers", "upstream", life.ID, "born", life.Born)
+		return
+	}
+	k.stuck[life] = true
+	_ = k.host.logger.Log("event", "upstream-stuck", "upstream", life.ID, "born", life.Born, "failing", failing,
+		"silent", now.Sub(heard), "is-free", k.book.IsFree(now, life),
+		"reason", "it takes no grants; its keys go to others once its last one has ended")
+}
+
 // speedsOf returns the speeds of the upstreams of a service, and by how much the fast ones are preferred at present.
 func (h *Host) speedsOf(now time.Time, s *realm.State, service string) (map[string]float64, float64) {
 	var ids []string
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -43,6 +43,7 @@
 	if !leads {
 		return ordered{Leader: status.Leader}, nil
 	}
+	h.hear(time.Now(), command.Join) // the host that passes this on has just heard them
 	return ordered{OK: true}, h.propose(ctx, paxos.Ballot{}, command)
 }
 
