Fail at once where a process of an earlier run holds a port of the tests

Cause: a run of the whole script was ended by hand, and six hosts that its test had started lived on. The next run's tests spoke to them: FalseRan 524, 343 and 441 in the three tests of real processes, which is each request that the ledgers of the tests' own upstreams did not hold. Traced by the start times and folders of those six; the same tests had passed on the same code before.

Processes of a test now end with it also when it is cut short, and a port that is taken fails the test with its address before anything is started (seen with a listener on one of them).

--- a/cmd/lovagelink/process_test.go
+++ b/cmd/lovagelink/process_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -45,6 +46,7 @@
 	t.Helper()
 	s := &system{t: t, folder: t.TempDir(), running: make(map[string]*exec.Cmd)}
 	s.binary = filepath.Join(s.folder, "lovagelink")
+	mustBeFree(t)
 	build := exec.Command("go", "build", "-o", s.binary, ".")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -57,11 +59,29 @@
 	return s
 }
 
-// start runs a subcommand as a process under a name.
+// mustBeFree fails a test at once if another process has one of its ports: what it says would pass for what the test's own
+// processes say.
+func mustBeFree(t *testing.T) {
+	t.Helper()
+	for i := range testHosts {
+		for _, port := range []int{hostPort(i, 0), hostPort(i, 1), hostPort(i, 2), hostPort(i, 3), hostPort(i, 4), firstLedger + i} {
+			listener, err := net.Listen("tcp", address(port))
+			if err != nil {
+				t.Fatalf("%v; a process of an earlier run may have the port: end it", err)
+			}
+			if err := listener.Close(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+// start runs a subcommand as a process under a name. It ends with the test, also when that is cut short.
 func (s *system) start(name string, args ...string) {
 	s.t.Helper()
 	command := exec.Command(s.binary, args...)
 	command.Dir = s.folder
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		s.t.Fatal(err)
 	}
