Do each look-up of the control host once, and split the keeper

Whether keys are on their way, and who has a range, were each asked in two places with a loop of their own: isMoving and rangeAt serve both. Heartbeats that another host passes on are noted in one place. A round of planning sorted the upstreams up to five times and the speeds twice; now once each. A request that waits for an owner looked the owner up twice a turn. Book.Forget was called by nobody.

Behaviour is meant to stay. No test was changed.

--- a/internal/core/granting.go
+++ b/internal/core/granting.go
@@ -197,12 +197,7 @@
 	heard := k.host.lastHeard(t.life, k.began)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for m := range k.moving {
-		if m.service == t.service && m.keys.Meets(one.Keys) {
-			return false
-		}
-	}
-	if !k.host.owns(t.service, one) {
+	if k.isMoving(t.service, one.Keys) || !k.host.owns(t.service, one) {
 		return false
 	}
 	if one.Active && now.Sub(t.granted[one.Keys]) < k.terms.Renew {
@@ -216,14 +211,21 @@
 }
 
 // owns reports whether a range still has the owner and the fence that it had.
-func (h *Host) owns(service string, one realm.Range) (isSame bool) {
+func (h *Host) owns(service string, one realm.Range) bool {
+	at, ok := h.rangeAt(service, one.From)
+	return ok && at.Keys == one.Keys && at.Owner == one.Owner && at.Fence == one.Fence
+}
+
+// rangeAt returns the range of a key at present, if somebody owns it.
+func (h *Host) rangeAt(service string, key uint16) (found realm.Range, ok bool) {
 	h.Read(func(s *realm.State) {
 		if owned := s.Owned[service]; owned != nil {
-			at := owned.Ranges.At(one.From)
-			isSame = at != nil && at.Keys == one.Keys && at.Owner == one.Owner && at.Fence == one.Fence
+			if at := owned.Ranges.At(key); at != nil {
+				found, ok = *at, true
+			}
 		}
 	})
-	return isSame
+	return found, ok
 }
 
 // take tells all hosts that the owner has its keys.
--- a/internal/core/hear.go
+++ b/internal/core/hear.go
@@ -113,21 +113,16 @@
 }
 
 func (h *Host) handleHeard(_ context.Context, _ string, args heardLately) (bool, error) {
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, life := range args.Lives {
-		h.hearing.last[life] = now
-	}
+	h.hear(time.Now(), args.Lives...)
 	return true, nil
 }
 
-// hear notes upstreams that another host has just heard.
-func (h *Host) hear(now time.Time, upstreams []realm.Upstream) {
+// hear notes lives that another host has just heard.
+func (h *Host) hear(now time.Time, lives ...realm.Life) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, u := range upstreams {
-		h.hearing.last[u.Life] = now
+	for _, life := range lives {
+		h.hearing.last[life] = now
 	}
 }
 
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
 	"gopkg.in/tomb.v2"
 
 	"lovagelink.example/lovagelink/internal/keyed"
@@ -50,12 +48,6 @@
 	stuck    map[realm.Life]bool      // upstreams that take no grants, so that their keys are to go to others
 }
 
-// move is keys on their way from one owner to another.
-type move struct {
-	service string
-	keys    realm.Keys
-}
-
 // lead grants keys whenever this host leads.
 func (h *Host) lead() error {
 	ticker := time.NewTicker(planGap)
@@ -130,13 +122,14 @@
 	plans := make(map[string]keyed.Plan)
 	var s realm.State // a copy, so that no lock is held while grants are looked at
 	k.host.Read(func(present *realm.State) { s = present.Clone() })
-	k.watchLives(now, &s, &command)
+	upstreams := s.Sorted()
+	k.watchLives(now, upstreams, &command)
 	for _, service := range s.Keyed() {
 		var ranges realm.Ranges
 		if owned := s.Owned[service]; owned != nil {
 			ranges = owned.Ranges
 		}
-		plans[service] = k.planService(now, &s, service, ranges)
+		plans[service] = k.planService(now, upstreams, service, ranges)
 	}
 	k.follow(&s)
 	defer func() { k.settle(command.Assign) }()
@@ -179,53 +172,15 @@
 	}
 }
 
-// watchLives notes upstreams that have become silent, and those that can be forgotten.
-func (k *keeper) watchLives(now time.Time, s *realm.State, command *realm.Command) {
-	for _, u := range s.Sorted() {
-		if !k.seen[u.Life] {
-			k.seen[u.Life] = true
-			k.joined = now
-			k.host.forgetSpeed(u.ID)
-			k.succeed(u)
-		}
-		silent := now.Sub(k.host.lastHeard(u.Life, k.began))
-		switch {
-		case u.Phase == realm.Gone:
-			if k.gone[u.Life].IsZero() {
-				k.gone[u.Life] = now
-			} else if now.Sub(k.gone[u.Life]) > forgetAfter {
-				command.Forget = append(command.Forget, u.Life)
-			}
-		case silent > k.host.lostAfter() && u.Phase == realm.Ready:
-			command.Enter = append(command.Enter, realm.Entering{Life: u.Life, Phase: realm.Lost})
-			_ = k.host.logger.Log("event", "upstream-lost", "upstream", u.ID, "born", u.Born, "silent", silent)
-		case silent > forgetAfter && u.Phase != realm.Ready:
-			command.Enter = append(command.Enter, realm.Entering{Life: u.Life, Phase: realm.Gone})
-		}
-	}
-}
-
-// succeed notes which lives were at the place of a new one.
-func (k *keeper) succeed(u *realm.Upstream) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, place := range []string{u.ID, u.Address.String()} {
-		if earlier, ok := k.places[place]; ok && earlier != u.Life {
-			k.book.Succeed(u.Life, earlier)
-		}
-		k.places[place] = u.Life
-	}
-}
-
-func (k *keeper) planService(now time.Time, s *realm.State, service string, ranges realm.Ranges) keyed.Plan {
+func (k *keeper) planService(now time.Time, known []*realm.Upstream, service string, ranges realm.Ranges) keyed.Plan {
 	if len(ranges) == 0 && now.Sub(k.joined) < settleTime {
 		return keyed.Plan{} // upstreams are still joining, and keys that are granted once need not move later
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var upstreams []keyed.Upstream
-	speeds, bias := k.host.speedsOf(now, s, service)
-	for _, u := range s.Sorted() {
+	speeds, bias := k.host.speedsOf(now, known, service)
+	for _, u := range known {
 		if u.Service != service {
 			continue
 		}
@@ -246,161 +201,18 @@
 		planner = keyed.NewPlanner(service)
 		k.planners[service] = planner
 	}
-	isMoving := func(keys realm.Keys) bool {
-		for m := range k.moving {
-			if m.service == service && m.keys.Meets(keys) {
-				return true
-			}
-		}
-		return false
-	}
 	k.host.mu.Lock()
 	loads := *k.host.loadsOf(service)
 	k.host.mu.Unlock()
 	plan := planner.Plan(now, ranges, upstreams, &loads,
-		func(life realm.Life) bool { return k.book.IsFree(now, life) }, isMoving)
+		func(life realm.Life) bool { return k.book.IsFree(now, life) },
+		func(keys realm.Keys) bool { return k.isMoving(service, keys) })
 	for _, one := range plan.Assign {
 		k.moving[move{service, one.Keys}] = true // their former owner is free of them, and is sent no grant from now on
 	}
 	return plan
 }
 
-// tellStuck logs when an upstream begins to be one whose keys are to go to others, and when it takes grants again.
-func (k *keeper) tellStuck(now time.Time, life realm.Life, isStuck bool, failing time.Duration, heard time.Time) {
-	if k.stuck[life] == isStuck {
-		return
-	}
-	if !isStuck {
-		delete(k.stuck, life)
-		_ = k.host.logger.Log("event", "upstream-answers", "upstream", life.ID, "born", life.Born)
-		return
-	}
-	k.stuck[life] = true
-	_ = k.host.logger.Log("event", "upstream-stuck", "upstream", life.ID, "born", life.Born, "failing", failing,
-		"silent", now.Sub(heard), "is-free", k.book.IsFree(now, life),
-		"reason", "it takes no grants; its keys go to others once its last one has ended")
-}
-
-// speedsOf returns the speeds of the upstreams of a service, and by how much the fast ones are preferred at present.
-func (h *Host) speedsOf(now time.Time, s *realm.State, service string) (map[string]float64, float64) {
-	var ids []string
-	slots := 0
-	for _, u := range s.Sorted() {
-		if u.Service == service && u.Phase == realm.Ready {
-			ids = append(ids, u.ID)
-			slots += u.Slots
-		}
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	speeds := h.speeds.Of(ids)
-	capacity := 0.0
-	for _, u := range s.Upstreams {
-		if speed, ok := speeds[u.ID]; ok {
-			capacity += float64(u.Slots) * speed
-		}
-	}
-	demand := h.loadsOf(service).Rate(now) * h.speeds.Median(ids).Seconds()
-	return speeds, keyed.Bias(demand, capacity, float64(slots)/float64(max(1, len(ids))))
-}
-
-func (h *Host) forgetSpeed(id string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.speeds.Forget(id)
-}
-
-// begin starts a move of keys.
-func (k *keeper) begin(service string, m keyed.Move) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.moving[move{service, m.Keys}] = true
-	k.tomb.Go(func() error {
-		k.move(service, m)
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		delete(k.moving, move{service, m.Keys})
-		return nil
-	})
-}
-
-var errGaveUp = errors.New("the move was given up")
-
-// move has an owner release keys and names the next one. Requests wait meanwhile.
-func (k *keeper) move(service string, m keyed.Move) {
-	ctx := k.tomb.Context(context.Background())
-	logger := log.With(k.host.logger, "event", "keys-moved", "service", service, "from", m.Keys.From, "to", m.Keys.To,
-		"owner", m.Owner.ID, "heir", m.Heir.ID, "fence", m.Fence)
-	began := time.Now()
-	handover, err := k.release(ctx, service, m)
-	if err != nil {
-		_ = logger.Log("outcome", "given-up", "took", time.Since(began), "reason", err)
-		return
-	}
-	k.insist(realm.Command{Assign: []realm.Assign{{
-		Service: service, Keys: m.Keys, Owner: m.Heir, Was: m.Fence, Handover: handover,
-	}}})
-	_ = logger.Log("outcome", "assigned", "took", time.Since(began))
-}
-
-// release takes keys back and waits until no grant to their owner can be in force.
-func (k *keeper) release(ctx context.Context, service string, m keyed.Move) (string, error) {
-	err := k.host.propose(ctx, k.ballot, realm.Command{Take: []realm.Taken{{Service: service, Keys: m.Keys, Fence: m.Fence}}})
-	if err != nil {
-		return "", err
-	}
-	if !k.host.givesUp(service, m) {
-		return "", errGaveUp // the keys have got another fence meanwhile
-	}
-	task := k.task(m.Owner)
-	if task == nil {
-		return "", errGaveUp
-	}
-	task.calls.Lock() // no grant of these keys is on its way behind this, and none begins while they move
-	task.calls.Unlock()
-	if !k.mayOrder(time.Now()) {
-		return "", errGaveUp
-	}
-	callCtx, cancel := context.WithTimeout(ctx, releaseTime)
-	handover, releaseErr := k.orders.Release(callCtx, task.target(), m.Keys, m.Fence)
-	cancel()
-	for ctx.Err() == nil {
-		k.mu.Lock()
-		isFree := k.book.IsFree(time.Now(), m.Owner)
-		if releaseErr == nil {
-			isFree = k.book.IsFreeAfterRelease(time.Now(), m.Owner)
-		}
-		k.mu.Unlock()
-		if isFree {
-			return handover, nil
-		}
-		if releaseErr != nil && !k.isEnding(m.Owner) {
-			return "", releaseErr // it goes on holding its other keys, so these would never be free
-		}
-		pause.For(ctx, freeGap)
-	}
-	return "", errGaveUp
-}
-
-// givesUp reports whether the keys of a move are still what it is about, and requests wait for them.
-func (h *Host) givesUp(service string, m keyed.Move) (isSame bool) {
-	h.Read(func(s *realm.State) {
-		if owned := s.Owned[service]; owned != nil {
-			at := owned.Ranges.At(m.Keys.From)
-			isSame = at != nil && at.Owner == m.Owner && at.Fence == m.Fence && !at.Active
-		}
-	})
-	return isSame
-}
-
-// isEnding reports whether no more grants go to a life.
-func (k *keeper) isEnding(life realm.Life) bool {
-	heard := k.host.lastHeard(life, k.began)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.book.IsStuck(time.Now(), life, heard)
-}
-
 func (k *keeper) task(life realm.Life) *granting {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -43,7 +43,9 @@
 	if !leads {
 		return ordered{Leader: status.Leader}, nil
 	}
-	h.hear(time.Now(), command.Join) // the host that passes this on has just heard them
+	for _, u := range command.Join {
+		h.hear(time.Now(), u.Life) // the host that passes this on has just heard it
+	}
 	return ordered{OK: true}, h.propose(ctx, paxos.Ballot{}, command)
 }
 
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -101,7 +101,8 @@
 	for {
 		changed := f.viewChange()
 		view := f.view.Load()
-		if known, fence, ok := view.Owner(now, c.service.Name, c.marks.Key); ok {
+		known, fence, isOwned := view.Owner(now, c.service.Name, c.marks.Key)
+		if isOwned {
 			u := f.at(known.Upstream)
 			if wait := u.lacks(now, fence); wait == 0 {
 				c.fence = fence
@@ -113,11 +114,9 @@
 		if ready, _ := view.Usable(c.service.Name); len(ready) == 0 {
 			return nil, c.refuse(unknownAfter, "no upstream of the service is known")
 		}
-		if _, _, ok := view.Owner(now, c.service.Name, c.marks.Key); !ok {
-			// What takes longer than a move is a takeover, which waits until grants end that can't be taken back.
-			if view.OwnerlessFor(now, c.service.Name, c.marks.Key) >= ownerWait {
-				return nil, c.refuse(takeoverAfter, "the keys wait for their next owner")
-			}
+		// What takes longer than a move is a takeover, which waits until grants end that can't be taken back.
+		if !isOwned && view.OwnerlessFor(now, c.service.Name, c.marks.Key) >= ownerWait {
+			return nil, c.refuse(takeoverAfter, "the keys wait for their next owner")
 		}
 		timer := time.NewTimer(min(end.Sub(now), lackLook))
 		select {
--- a/internal/keyed/book.go
+++ b/internal/keyed/book.go
@@ -208,12 +208,3 @@
 	}
 	return failing >= patienceHeard || failing >= patience && !heard.After(r.trouble)
 }
-
-// Forget drops the record of lives that are not known any more.
-func (b *Book) Forget(isKnown func(realm.Life) bool) {
-	for life, r := range b.lives {
-		if r.pending == 0 && !isKnown(life) {
-			delete(b.lives, life)
-		}
-	}
-}
--- a/internal/keyed/speed.go
+++ b/internal/keyed/speed.go
@@ -33,8 +33,8 @@
 // Forget drops what is known of an upstream, as when another life has begun under its id.
 func (s *Speeds) Forget(id string) { delete(s.took, id) }
 
-// Median returns how long the median upstream takes, 0 if nothing is known.
-func (s *Speeds) Median(ids []string) time.Duration {
+// median returns how long the median upstream takes, 0 if nothing is known.
+func (s *Speeds) median(ids []string) time.Duration {
 	var known []time.Duration
 	for _, id := range ids {
 		if took := s.took[id]; took > 0 {
@@ -48,15 +48,16 @@
 	return known[len(known)/2]
 }
 
-// Of returns the speeds of the upstreams of one service, 1 for the median and for those of which nothing is known.
-func (s *Speeds) Of(ids []string) map[string]float64 {
-	median := s.Median(ids)
-	speeds := make(map[string]float64, len(ids))
+// Of returns the speeds of the upstreams of one service, 1 for the median and for those of which nothing is known, and
+// how long the median one takes, 0 if that is not known either.
+func (s *Speeds) Of(ids []string) (speeds map[string]float64, median time.Duration) {
+	median = s.median(ids)
+	speeds = make(map[string]float64, len(ids))
 	for _, id := range ids {
 		speeds[id] = 1
 		if took := s.took[id]; took > 0 {
 			speeds[id] = min(max(float64(median)/float64(took), leastSpeed), mostSpeed)
 		}
 	}
-	return speeds
+	return speeds, median
 }
--- a/internal/realm/command.go
+++ b/internal/realm/command.go
@@ -2,7 +2,7 @@
 
 import "lovagelink.example/lovagelink/internal/route"
 
-// Command is one change of the state; exactly one field is set.
+// Command is a change of the state; what its fields hold is carried out in the order in which Apply has them.
 type Command struct {
 	Accept *Accept    `json:"accept,omitempty"`
 	Join   []Upstream `json:"join,omitempty"`
