--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -39,6 +39,7 @@
 	suspends  *clock.SuspendDetector
 	logger    log.Logger
 	tomb      tomb.Tomb
+	workload  workload
 
 	mu           sync.Mutex
 	seeds        []netip.AddrPort
@@ -83,6 +84,7 @@
 	h.tomb.Go(h.learnZones)
 	h.tomb.Go(h.forwardHeartbeats)
 	h.tomb.Go(h.runLeader)
+	h.tomb.Go(h.logWorkload)
 }
 
 // Stop ends all tasks and closes the replica.
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -34,6 +34,7 @@
 		store.Await(ctx, args.Since)
 	}
 	now := time.Now()
+	h.workload.replies.Add(1)
 	return FollowReply{LeaderReachable: h.hasLeaderContact(now), Members: h.membersWithZones(now), Update: store.Since(args.Since)}, nil
 }
 
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -29,14 +29,19 @@
 	ctx := f.tomb.Context(context.Background())
 	isControlLost := false
 	for f.tomb.Alive() {
-		source := f.pickSource(time.Now())
+		start := time.Now()
+		source := f.pickSource(start)
+		receivedBefore := f.endpoint.Received(source)
 		callCtx, cancel := context.WithTimeout(ctx, followTimeout)
 		reply, err := peer.Call[core.FollowReply](callCtx, f.endpoint, source, "follow", core.FollowRequest{Since: f.view.Load().Index})
 		cancel()
+		received, took := f.endpoint.Received(source)-receivedBefore, time.Since(start)
+		f.stats.UpdateBytes.Add(received)
 		f.leaderReachable.Store(err == nil && reply.LeaderReachable)
 		if err != nil || !reply.LeaderReachable {
+			f.stats.UpdatesFailed.Add(1)
 			if f.tomb.Alive() && !isControlLost {
-				_ = f.logger.Log("event", "control-lost", "source", source, "index", f.view.Load().Index, "reason", err)
+				_ = f.logger.Log("event", "control-lost", "source", source, "index", f.view.Load().Index, "received", received, "took", took, "reason", err)
 				isControlLost = true
 			}
 			f.mu.Lock()
@@ -49,7 +54,10 @@
 			_ = f.logger.Log("event", "control-regained", "source", source, "index", reply.Update.Index)
 			isControlLost = false
 		}
-		f.applyUpdate(time.Now(), reply)
+		if version, isNew := f.applyUpdate(time.Now(), reply); isNew {
+			_ = f.logger.Log("event", "config-in-force", "version", version, "index", reply.Update.Index, "source", source,
+				"received", received, "took", took, "applied-in", time.Since(start)-took)
+		}
 	}
 	return nil
 }
@@ -67,8 +75,9 @@
 	return f.sources.names()
 }
 
-// applyUpdate applies the update and the list of control hosts in a follow reply.
-func (f *Front) applyUpdate(now time.Time, reply core.FollowReply) {
+// applyUpdate applies the update and the list of control hosts in a follow reply. It returns the version of the
+// configuration in force and reports whether the update has put it in force.
+func (f *Front) applyUpdate(now time.Time, reply core.FollowReply) (version uint64, isNew bool) {
 	old := f.view.Load()
 	next := old.With(now, reply.Update)
 	f.mu.Lock()
@@ -77,10 +86,7 @@
 		f.sources.add(member)
 	}
 	if next == old {
-		return
-	}
-	if next.Table != nil && next.Table != old.Table {
-		_ = f.logger.Log("event", "config-in-force", "version", next.Table.Config.Version, "index", next.Index)
+		return 0, false
 	}
 	f.view.Store(next)
 	close(f.changed)
@@ -92,6 +98,10 @@
 			delete(f.upstreams, instance)
 		}
 	}
+	if next.Table == nil {
+		return 0, false
+	}
+	return next.Table.Config.Version, next.Table != old.Table
 }
 
 // viewChange returns a channel that closes when the view changes.
--- a/internal/front/stats.go
+++ b/internal/front/stats.go
@@ -13,6 +13,7 @@
 type stats struct {
 	Requests, Served, Refused, Unknown, Late, Unrouted, Gone atomic.Int64
 	Sent, Resent, Shed, Mismatched                           atomic.Int64
+	UpdateBytes, UpdatesFailed                               atomic.Int64
 }
 
 // Metrics returns the counts and gauges of this host.
@@ -32,6 +33,8 @@
 	count("repeated", "requests sent to upstreams beyond the first of each", &s.Resent)
 	count("shed", "requests that an upstream had no room for", &s.Shed)
 	count("strays", "answers of upstreams to other requests than the one sent", &s.Mismatched)
+	count("update-bytes", "bytes received from control hosts in answer to follow calls", &s.UpdateBytes)
+	count("updates-failed", "follow calls without an answer, or answered by a host without contact with the leader", &s.UpdatesFailed)
 	gauge := func(name, help string, read func(*View) int64) {
 		gauges = append(gauges, meter.Metric{Name: name, Help: help, Read: func(time.Time) int64 { return read(f.view.Load()) }})
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -15,6 +16,7 @@
 	host          string
 	address       netip.AddrPort
 	dialRequested chan struct{}
+	received      atomic.Int64 // bytes received on all connections to the host
 
 	mu           sync.Mutex
 	conn         *jsonrpc2.Conn
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -222,6 +222,15 @@
 	return p != nil && !p.hasFailedRecently(now)
 }
 
+// Received returns how many bytes this host has received on the connections that it has opened to another host.
+func (e *Endpoint) Received(host string) int64 {
+	p := e.connTo(host)
+	if p == nil {
+		return 0
+	}
+	return p.received.Load()
+}
+
 // call sends a call over the connection, and closes the connection if sending or receiving failed. Nothing else may
 // show that the connection is broken, since the other host need not send anything on it.
 func (p *peerConn) call(ctx context.Context, method string, params, result any) error {
--- a/internal/peer/maintain.go
+++ b/internal/peer/maintain.go
@@ -32,7 +32,7 @@
 		p.recordFailure(time.Now())
 		return
 	}
-	conn := e.attach(netConn)
+	conn := e.attach(countingConn{netConn, &p.received})
 	p.setConn(time.Now(), conn)
 	defer conn.Close()
 	if err := e.monitor(p, conn); err != nil {
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 )
 
@@ -47,6 +48,18 @@
 	}
 }
 
+// countingConn counts the bytes that are read from a connection.
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (c countingConn) Read(buf []byte) (int, error) {
+	n, err := c.Conn.Read(buf)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // timeoutConn fails a read or a write that makes no progress for the timeout. A device between the two ends, such as a
 // firewall, may have dropped the state of the connection without notice to either end.
 type timeoutConn struct {
