Let a call go on while its response arrives

A host whose update takes longer than 1.4 s on its link never got it: the call was given up with most of the bytes received, and the next one asked for all of them again.

CallWhileReceiving begins its timeout again as long as 2 KB arrive within it, so that a host which only answers pings still times out. Pings had the same fault: the response to a ping queues behind the response to the call, and after 400 ms the connection counted as broken. Now bytes of any response count as a sign of life. TestLargeResponseOnSlowLink; the networks of the tests got links of a given rate for it.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -5,11 +5,15 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
 
-// chunk holds the bytes of one write until the reader has read them.
+// maxChunk is the largest chunk, so that bytes on a slow link arrive one after the other.
+const maxChunk = 4 << 10
+
+// chunk holds bytes of one write until the reader has read them.
 type chunk struct {
 	data []byte
 	due  time.Time // when the bytes arrive
@@ -65,7 +69,10 @@
 	case s.isBlackholed:
 		return len(data), nil
 	}
-	s.chunks = append(s.chunks, chunk{data: append([]byte(nil), data...), due: time.Now().Add(delay)})
+	now := time.Now()
+	for part := range slices.Chunk(slices.Clone(data), maxChunk) {
+		s.chunks = append(s.chunks, chunk{data: part, due: s.net.transmit(now, s.to, len(part)).Add(delay)})
+	}
 	s.wakeLocked()
 	return len(data), nil
 }
--- a/internal/memnet/net.go
+++ b/internal/memnet/net.go
@@ -22,6 +22,8 @@
 	conns       map[*conn]struct{}
 	partitioned func(from, to Place) bool
 	delay       func(from, to Place) time.Duration
+	rate        func(to Place) int  // bytes per second that a place receives, 0 for no limit
+	linkFreeAt  map[Place]time.Time // when the link to a place has carried all bytes sent so far
 	lastPort    uint16
 	sent        map[string]int64 // bytes written, by the name of the place
 }
@@ -33,6 +35,8 @@
 		conns:       make(map[*conn]struct{}),
 		partitioned: func(Place, Place) bool { return false },
 		delay:       delay,
+		rate:        func(Place) int { return 0 },
+		linkFreeAt:  make(map[Place]time.Time),
 		lastPort:    1000,
 		sent:        make(map[string]int64),
 	}
@@ -74,6 +78,29 @@
 	}
 }
 
+// SetRate sets how many bytes per second each place receives, over all its connections; 0 means no limit.
+func (n *Net) SetRate(rate func(to Place) int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rate = rate
+}
+
+// transmit returns when bytes that are sent now have passed the link of the receiving place.
+func (n *Net) transmit(now time.Time, to Place, bytes int) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	rate := n.rate(to)
+	if rate == 0 {
+		return now
+	}
+	start := now
+	if free := n.linkFreeAt[to]; free.After(now) {
+		start = free
+	}
+	n.linkFreeAt[to] = start.Add(time.Duration(bytes) * time.Second / time.Duration(rate))
+	return n.linkFreeAt[to]
+}
+
 // BytesSent returns how many bytes the places with a name have written.
 func (n *Net) BytesSent(name string) int64 {
 	n.mu.Lock()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -16,14 +15,14 @@
 	host          string
 	address       netip.AddrPort
 	dialRequested chan struct{}
-	received      atomic.Int64 // bytes received on all connections to the host
 
 	mu           sync.Mutex
 	conn         *jsonrpc2.Conn
 	changed      chan struct{}
 	pending      int
 	lastUsed     time.Time // when a call last started or ended
-	lastReceived time.Time // when a response was last received, or the connection was opened
+	received     int64     // bytes received on all connections to the host
+	lastReceived time.Time // when bytes were last received, or the connection was opened
 	lastFailure  time.Time // when the connection last broke or could not be opened
 	failures     int
 }
@@ -77,18 +76,40 @@
 	p.lastUsed = now
 }
 
-// endCall records the end of a call; isAlive reports whether the other host has responded.
-func (p *peerConn) endCall(now time.Time, isAlive bool) {
+// endCall records the end of a call.
+func (p *peerConn) endCall(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending--
 	p.lastUsed = now
-	if isAlive {
-		p.lastReceived = now
+}
+
+// recordReceived records that bytes have been received.
+func (p *peerConn) recordReceived(now time.Time, bytes int) {
+	if bytes == 0 {
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.received += int64(bytes)
+	p.lastReceived = now
+}
+
+// receivedBytes returns how many bytes have been received on all connections to the host.
+func (p *peerConn) receivedBytes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.received
+}
+
+// hasReceivedSince reports whether any bytes have been received after a time.
+func (p *peerConn) hasReceivedSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastReceived.After(since)
 }
 
-// needsPing reports whether calls are pending and no response has been received for the given delay.
+// needsPing reports whether calls are pending and nothing has been received for the given delay.
 func (p *peerConn) needsPing(now time.Time, delay time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -164,7 +164,39 @@
 	}
 	p.beginCall(time.Now())
 	err := p.call(ctx, method, envelope{From: e.name, Body: params}, &result)
-	p.endCall(time.Now(), err == nil || isRemoteError(err))
+	p.endCall(time.Now())
+	return result, err
+}
+
+// minReceivedBytes is how many bytes must arrive within the timeout of CallWhileReceiving for the call to go on. The
+// responses to pings and to small calls on the same connection stay below it.
+const minReceivedBytes = 2 << 10
+
+// CallWhileReceiving is like Call with a timeout that begins again as long as a large response arrives, however long the
+// whole of it takes.
+func CallWhileReceiving[R any](ctx context.Context, e *Endpoint, host, method string, params any, timeout time.Duration) (R, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		ticker := time.NewTicker(timeout)
+		defer ticker.Stop()
+		for received := e.Received(host); ; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			before := received
+			if received = e.Received(host); received-before < minReceivedBytes {
+				cancel(context.DeadlineExceeded)
+				return
+			}
+		}
+	}()
+	result, err := Call[R](ctx, e, host, method, params)
+	if err != nil && context.Cause(ctx) != nil {
+		err = context.Cause(ctx)
+	}
 	return result, err
 }
 
@@ -228,7 +260,7 @@
 	if p == nil {
 		return 0
 	}
-	return p.received.Load()
+	return p.receivedBytes()
 }
 
 // call sends a call over the connection, and closes the connection if sending or receiving failed. Nothing else may
--- a/internal/peer/endpoint_test.go
+++ b/internal/peer/endpoint_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +59,32 @@
 	})
 }
 
+// A response that takes longer to arrive than the timeout and a ping together is received on the first attempt.
+func TestLargeResponseOnSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(func(_, _ memnet.Place) time.Duration { return time.Millisecond })
+		network.SetRate(func(to memnet.Place) int { return 10_000 })
+		addresses := make(map[string]netip.AddrPort)
+		for _, name := range []string{"a", "b"} {
+			addresses[name], _ = network.NextAddress()
+		}
+		a, b := startPair(t, network.At("z", "a"), network.At("z", "b"), addresses)
+		HandleTyped(b, "large", func(context.Context, string, struct{}) (string, error) { return strings.Repeat("x", 50_000), nil })
+		HandleTyped(b, "stuck", func(ctx context.Context, _ string, _ struct{}) (string, error) {
+			<-ctx.Done()
+			return "", ctx.Err()
+		})
+		text, err := CallWhileReceiving[string](context.Background(), a, "b", "large", struct{}{}, time.Second)
+		is.NoErr(err)
+		is.Equal(len(text), 50_000)
+		startedAt := time.Now()
+		_, err = CallWhileReceiving[string](context.Background(), a, "b", "stuck", struct{}{}, time.Second)
+		is.True(errors.Is(err, context.DeadlineExceeded)) // the host responds to pings only
+		is.True(time.Since(startedAt) < 2*time.Second)
+	})
+}
+
 func callWithoutDeadline(e *Endpoint, host string) error {
 	_, err := Call[echo](context.Background(), e, host, "echo", echo{})
 	return err
--- a/internal/peer/maintain.go
+++ b/internal/peer/maintain.go
@@ -32,7 +32,7 @@
 		p.recordFailure(time.Now())
 		return
 	}
-	conn := e.attach(countingConn{netConn, &p.received})
+	conn := e.attach(receivingConn{netConn, p})
 	p.setConn(time.Now(), conn)
 	defer conn.Close()
 	if err := e.monitor(p, conn); err != nil {
@@ -71,11 +71,10 @@
 	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), pingTimeout)
 	defer cancel()
 	var pong bool
-	if err := conn.Call(ctx, "ping", envelope{From: e.name}, &pong); err != nil {
-		return err
+	sentAt := time.Now()
+	err := conn.Call(ctx, "ping", envelope{From: e.name}, &pong)
+	if err != nil && p.hasReceivedSince(sentAt) {
+		return nil // a response to a call arrives, and the response to the ping follows it
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lastReceived = time.Now()
-	return nil
+	return err
 }
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"sync/atomic"
 	"time"
 )
 
@@ -48,15 +47,15 @@
 	}
 }
 
-// countingConn counts the bytes that are read from a connection.
-type countingConn struct {
+// receivingConn reports the bytes that are read from a connection.
+type receivingConn struct {
 	net.Conn
-	received *atomic.Int64
+	peer *peerConn
 }
 
-func (c countingConn) Read(buf []byte) (int, error) {
+func (c receivingConn) Read(buf []byte) (int, error) {
 	n, err := c.Conn.Read(buf)
-	c.received.Add(int64(n))
+	c.peer.recordReceived(time.Now(), n)
 	return n, err
 }
 
