Renew the tokens of all owners in one entry when a leader's tenure begins

A tenure begins without connections for grants, so each of the 386 owners renewed its token in an entry of its own, which all replicas store and apply to all ranges, and then all owners were called in the same moment, each on a new connection. On a quarter of a core the messages of the log wait behind that for longer than the lease.

Now one entry renews the tokens of all owners, and the first grants of a tenure are spread over 0.6 s; grants of the former leader still last for a second then.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -105,10 +106,18 @@
 
 // startHost starts the only control host of a deployment and waits until it leads.
 func startHost(t *testing.T, last byte, client UpstreamClient) *Host {
+	t.Helper()
+	h, stop := startHostIn(t, last, t.TempDir(), client)
+	t.Cleanup(stop)
+	return h
+}
+
+// startHostIn is like startHost for a data folder that may hold the state of an earlier run.
+func startHostIn(t *testing.T, last byte, folder string, client UpstreamClient) (*Host, func()) {
 	t.Helper()
 	settings := site.Host{
 		Name: "core-1", IP: loopback(last, 0).Addr(), Internal: 29201, Seeds: []netip.AddrPort{loopback(last, 29200)}, Bootstrap: true,
-		DataFolder: t.TempDir(), Control: loopback(last, 29200), Bounds: site.Bounds{MaxGrantTTL: 10 * time.Second, HeartbeatInterval: 100 * time.Millisecond},
+		DataFolder: folder, Control: loopback(last, 29200), Bounds: site.Bounds{MaxGrantTTL: 10 * time.Second, HeartbeatInterval: 100 * time.Millisecond},
 	}
 	endpoint := peer.NewDynamic(peer.TCP{}, settings.PeerName(settings.Control), settings.PeerAddress(settings.Control))
 	h, err := New(time.Now(), settings, endpoint, func() UpstreamClient { return client }, clock.New(), log.NewNopLogger())
@@ -119,15 +128,14 @@
 		t.Fatal(err)
 	}
 	h.Start()
-	t.Cleanup(func() {
-		h.Stop()
-		endpoint.Stop()
-	})
 	waitFor(t, "a leader", func() bool {
 		_, leads := h.leads(time.Now())
 		return leads
 	})
-	return h
+	return h, func() {
+		h.Stop()
+		endpoint.Stop()
+	}
 }
 
 func waitFor(t *testing.T, condition string, check func() bool) {
@@ -324,3 +332,37 @@
 	got, _ = phase()
 	is.Equal(got, realm.Draining)
 }
+
+// A new leader, which has no connections to the owners of keys yet, renews their fencing tokens in one entry of the log,
+// however many owners there are.
+func TestNewLeaderFencesAllOwnersAtOnce(t *testing.T) {
+	is := is.New(t)
+	const owners = 20
+	upstreams, folder := newFakeUpstreams(), t.TempDir()
+	var ids []byte
+	for id := range owners {
+		ids = append(ids, byte(id+1))
+	}
+	h, stop := startHostIn(t, 19, folder, upstreams)
+	is.NoErr(h.AcceptConfig(t.Context(), time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
+	sendHeartbeats(t, h, ids...)
+	waitFor(t, "active keys of all upstreams", func() (all bool) {
+		h.Read(func(s *realm.State) {
+			all = s.Ownership["s"] != nil && !slices.ContainsFunc(s.Ownership["s"].Ranges, func(r realm.Range) bool { return !r.Active })
+		})
+		return all && len(h.owners()) == owners
+	})
+	stop()
+	successors := newFakeUpstreams()
+	h, stop = startHostIn(t, 19, folder, successors)
+	defer stop()
+	before := h.Status(time.Now()).Commit
+	sendHeartbeats(t, h, ids...)
+	waitFor(t, "grants to all owners", func() bool {
+		successors.mu.Lock()
+		defer successors.mu.Unlock()
+		return len(successors.tokens) == owners
+	})
+	is.True(h.Status(time.Now()).Commit-before < owners/2)
+	is.NoErr(successors.violation)
+}
--- a/internal/core/granting.go
+++ b/internal/core/granting.go
@@ -24,7 +24,7 @@
 }
 
 // updateTasks starts a task for each owner that has none, and triggers the tasks of owners with inactive keys.
-func (k *keyManager) updateTasks(s *realm.State) {
+func (k *keyManager) updateTasks(now time.Time, s *realm.State) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for service, ownership := range s.Ownership {
@@ -40,7 +40,8 @@
 					wake: make(chan struct{}, 1), grantedAt: make(map[realm.KeyRange]time.Time),
 				}
 				k.tasks[r.Owner] = task
-				k.tomb.Go(func() error { return k.runTask(task) })
+				delay := k.pacer.Delay(now)
+				k.tomb.Go(func() error { return k.runTask(task, delay) })
 			}
 			if !r.Active {
 				task.trigger()
@@ -58,10 +59,10 @@
 	}
 }
 
-// runTask sends grants until the instance is no longer registered or has ended.
-func (k *keyManager) runTask(t *grantTask) error {
+// runTask sends grants, after a delay, until the instance is no longer registered or has ended.
+func (k *keyManager) runTask(t *grantTask, delay time.Duration) error {
 	ctx := k.tomb.Context(context.Background())
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	for k.tomb.Alive() {
 		select {
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -23,6 +23,7 @@
 	planInterval   = 100 * time.Millisecond
 	minLeaseLeft   = 50 * time.Millisecond   // no call to an upstream starts when the leader's lease has less time left
 	pollInterval   = 30 * time.Millisecond   // time between checks of released keys, and between retries of a proposal
+	firstGrantTime = 600 * time.Millisecond  // time over which the first grants of a tenure are spread
 	joinSettleTime = 1200 * time.Millisecond // time without new upstreams before keys of a service are first assigned
 )
 
@@ -37,6 +38,7 @@
 
 	mu           sync.Mutex
 	tracker      *keyed.GrantTracker
+	pacer        *keyed.Pacer
 	startTime    time.Time
 	planners     map[string]*keyed.Planner
 	tasks        map[realm.Instance]*grantTask
@@ -73,6 +75,7 @@
 		if k == nil {
 			k = newKeyManager(now, h, status)
 			_ = h.logger.Log("event", "leadership-won", "ballot", status.Ballot, "commit", status.Commit)
+			k.renewAllTokens()
 		}
 		k.plan(now)
 	}
@@ -86,15 +89,9 @@
 		moving: make(map[movingRange]bool), seen: make(map[realm.Instance]bool), latestAt: make(map[string]realm.Instance), goneSince: make(map[realm.Instance]time.Time),
 		unresponsive: make(map[realm.Instance]bool),
 	}
-	var owners []realm.Instance
-	h.Read(func(s *realm.State) {
-		for _, ownership := range s.Ownership {
-			for _, r := range ownership.Ranges {
-				owners = append(owners, r.Owner)
-			}
-		}
-	})
+	owners := h.owners()
 	k.tracker = keyed.NewGrantTracker(now, k.terms, owners)
+	k.pacer = keyed.NewPacer(len(owners), firstGrantTime)
 	k.tomb.Go(func() error { // keeps the tomb alive while there are no other tasks
 		<-k.tomb.Dying()
 		return nil
@@ -102,6 +99,36 @@
 	return k
 }
 
+// owners returns the instances that own keys.
+func (h *Host) owners() (owners []realm.Instance) {
+	isListed := make(map[realm.Instance]bool)
+	h.Read(func(s *realm.State) {
+		for _, ownership := range s.Ownership {
+			for _, r := range ownership.Ranges {
+				if !isListed[r.Owner] {
+					isListed[r.Owner] = true
+					owners = append(owners, r.Owner)
+				}
+			}
+		}
+	})
+	return owners
+}
+
+// renewAllTokens gives all keys new fencing tokens in one entry of the log, since a tenure begins without connections
+// for grants. If that fails, the tasks of the owners renew their own tokens.
+func (k *keyManager) renewAllTokens() {
+	owners := k.host.owners()
+	if len(owners) == 0 {
+		return
+	}
+	if err := k.host.propose(k.tomb.Context(context.Background()), k.ballot, realm.Command{RenewTokens: owners}); err != nil {
+		_ = k.host.logger.Log("event", "keys-fenced", "outcome", "unknown", "owners", len(owners), "reason", err)
+		return
+	}
+	_ = k.host.logger.Log("event", "keys-fenced", "owners", len(owners), "reason", "a tenure as leader begins without connections for grants")
+}
+
 func (k *keyManager) stop() {
 	if k == nil {
 		return
@@ -131,7 +158,7 @@
 		}
 		plans[service] = k.planService(now, upstreams, service, ranges)
 	}
-	k.updateTasks(&s)
+	k.updateTasks(now, &s)
 	defer func() { k.endMoves(command.Assignments) }()
 	for service, plan := range plans {
 		command.Assignments = append(command.Assignments, plan.Assignments...)
--- a/internal/realm/state.go
+++ b/internal/realm/state.go
@@ -54,9 +54,7 @@
 	for _, instance := range command.Forget {
 		s.forget(instance)
 	}
-	for _, instance := range command.RenewTokens {
-		s.renewTokens(instance)
-	}
+	s.renewTokens(command.RenewTokens)
 	result, _ := json.Marshal(Result{Version: s.Version()}) // a struct of one number can't fail to encode
 	return result
 }
@@ -169,13 +167,20 @@
 	}
 }
 
-// renewTokens gives the keys of an owner a new fencing token. Changed stays as it is, since followers don't need the
+// renewTokens gives the keys of some owners new fencing tokens. Changed stays as it is, since followers don't need the
 // token: the owner is the same.
-func (s *State) renewTokens(owner Instance) {
+func (s *State) renewTokens(owners []Instance) {
+	if len(owners) == 0 {
+		return
+	}
+	isNamed := make(map[Instance]bool, len(owners))
+	for _, owner := range owners {
+		isNamed[owner] = true
+	}
 	for _, ownership := range s.Ownership {
 		next := slices.Clone(ownership.Ranges)
 		for i := range next {
-			if next[i].Owner == owner {
+			if isNamed[next[i].Owner] {
 				next[i].FencingToken = s.Index
 			}
 		}
