Keep a leader's connections and grants while its lease lapses

A lease that resumes under the same ballot proves that no other host has led in between: a quorum has replied in this ballot, so it has promised no higher one. The manager of keys now ends with the ballot. While the lease is lapsed it sends nothing and decides nothing, as mayCallUpstreams and plan check it already.

TestLapsedLeaseIsNotANewTenure failed before: 4 clients in place of 1.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,20 +108,20 @@
 // startHost starts the only control host of a deployment and waits until it leads.
 func startHost(t *testing.T, last byte, client UpstreamClient) *Host {
 	t.Helper()
-	h, stop := startHostIn(t, last, t.TempDir(), client)
+	h, stop := startHostIn(t, last, t.TempDir(), func() UpstreamClient { return client }, clock.New())
 	t.Cleanup(stop)
 	return h
 }
 
 // startHostIn is like startHost for a data folder that may hold the state of an earlier run.
-func startHostIn(t *testing.T, last byte, folder string, client UpstreamClient) (*Host, func()) {
+func startHostIn(t *testing.T, last byte, folder string, newClient func() UpstreamClient, suspends *clock.SuspendDetector) (*Host, func()) {
 	t.Helper()
 	settings := site.Host{
 		Name: "core-1", IP: loopback(last, 0).Addr(), Internal: 29201, Seeds: []netip.AddrPort{loopback(last, 29200)}, Bootstrap: true,
 		DataFolder: folder, Control: loopback(last, 29200), Bounds: site.Bounds{MaxGrantTTL: 10 * time.Second, HeartbeatInterval: 100 * time.Millisecond},
 	}
 	endpoint := peer.NewDynamic(peer.TCP{}, settings.PeerName(settings.Control), settings.PeerAddress(settings.Control))
-	h, err := New(time.Now(), settings, endpoint, func() UpstreamClient { return client }, clock.New(), log.NewNopLogger())
+	h, err := New(time.Now(), settings, endpoint, newClient, suspends, log.NewNopLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -343,7 +344,7 @@
 	for id := range owners {
 		ids = append(ids, byte(id+1))
 	}
-	h, stop := startHostIn(t, 19, folder, upstreams)
+	h, stop := startHostIn(t, 19, folder, func() UpstreamClient { return upstreams }, clock.New())
 	is.NoErr(h.AcceptConfig(t.Context(), time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
 	sendHeartbeats(t, h, ids...)
 	waitFor(t, "active keys of all upstreams", func() (all bool) {
@@ -354,7 +355,7 @@
 	})
 	stop()
 	successors := newFakeUpstreams()
-	h, stop = startHostIn(t, 19, folder, successors)
+	h, stop = startHostIn(t, 19, folder, func() UpstreamClient { return successors }, clock.New())
 	defer stop()
 	before := h.Status(time.Now()).Commit
 	sendHeartbeats(t, h, ids...)
@@ -366,3 +367,35 @@
 	is.True(h.Status(time.Now()).Commit-before < owners/2)
 	is.NoErr(successors.violation)
 }
+
+// A leader whose lease lapses and resumes under the same ballot keeps its connections and the tokens of the owners.
+func TestLapsedLeaseIsNotANewTenure(t *testing.T) {
+	is := is.New(t)
+	var suspended, clients atomic.Int64
+	upstreams := newFakeUpstreams()
+	newClient := func() UpstreamClient {
+		clients.Add(1)
+		return upstreams
+	}
+	suspends := clock.NewWith(func() (time.Duration, error) { return time.Duration(suspended.Load()), nil })
+	h, stop := startHostIn(t, 20, t.TempDir(), newClient, suspends)
+	defer stop()
+	is.NoErr(h.AcceptConfig(t.Context(), time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
+	sendHeartbeats(t, h, 1, 2)
+	owned := func() bool {
+		return upstreams.ownedKeys(loopback(1, 29300))+upstreams.ownedKeys(loopback(2, 29300)) == realm.AllKeys.Size()
+	}
+	waitFor(t, "owners", owned)
+	before, _ := h.leads(time.Now())
+	for range 3 {
+		suspended.Add(int64(time.Minute))
+		waitFor(t, "the lapse", func() bool { _, leads := h.leads(time.Now()); return !leads })
+		time.Sleep(2 * planInterval)
+		waitFor(t, "the lease", func() bool { _, leads := h.leads(time.Now()); return leads })
+		time.Sleep(2 * planInterval)
+	}
+	after, _ := h.leads(time.Now())
+	is.Equal(after.Ballot, before.Ballot)
+	is.Equal(clients.Load(), int64(1))
+	is.NoErr(upstreams.violation)
+}
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -50,11 +50,15 @@
 	unresponsive map[realm.Instance]bool      // instances that acknowledge no grants, so that their keys go to others
 }
 
-// runLeader runs a keyManager for each tenure of this host as leader.
+// runLeader runs a keyManager for each tenure of this host as leader. While the lease lapses, the keyManager sends
+// nothing and decides nothing, but keeps its connections and what it knows of the grants: if the lease resumes under the
+// same ballot, no other host has led in between. To begin anew costs each owner a connection and a token, which is more
+// than a host that is late with its heartbeats can afford.
 func (h *Host) runLeader() error {
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	var k *keyManager
+	isLapsed := false
 	for {
 		select {
 		case <-h.tomb.Dying():
@@ -64,10 +68,14 @@
 		}
 		now := time.Now()
 		status, leads := h.leads(now)
-		if k != nil && (!leads || k.ballot != status.Ballot) {
+		if k != nil && k.ballot != status.Ballot {
 			_ = h.logger.Log("event", "leadership-lost", "ballot", k.ballot, "leader", status.Leader)
 			k.stop()
-			k = nil
+			k, isLapsed = nil, false
+		}
+		if k != nil && leads == isLapsed {
+			isLapsed = !leads
+			_ = h.logger.Log("event", "lease", "ballot", k.ballot, "lapsed", isLapsed)
 		}
 		if !leads {
 			continue
