Keep the entries of configurations small, and let large messages of the log arrive

Heartbeats, drains and reads got no answer, and the last read found no configuration (CONFIG). An entry held the configuration twice, as 730 KB of JSON, of which base64 makes 970 KB on the wire; a quarter of a core does not encode, send, decode and store that within the 400 ms of a call, and the next call starts from nothing.

Configurations are now compressed in the log, once all members have said that they understand it, so that a host of the former release in the deployment still applies what the others apply.

TestLargeEntryReachesSlowReplicas failed before (not confirmed within 10 s); TestPackedConfig holds the entry to a fifth of its size.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,7 +47,10 @@
 	replicaStore *replicaStore
 	joinRequests map[string]time.Time // time of the last join request, by name of the host that wants to be a member
 	heartbeats   *heartbeats
-	zones        map[string]string    // availability zone by name of the control host
+	zones        map[string]string // availability zone by name of the control host
+
+	understandPacked map[string]bool // names of the control hosts that understand compressed configurations
+
 	entryHosts   map[string]time.Time // time of the last report, by name of the entry host
 	loads        map[string]*keyed.Loads
 	serviceTimes *keyed.ServiceTimes
@@ -60,7 +63,7 @@
 func New(now time.Time, host site.Host, endpoint *peer.Endpoint, newClient func() UpstreamClient, suspends *clock.SuspendDetector, logger log.Logger) (*Host, error) {
 	h := &Host{
 		site: host, seeds: host.Seeds, name: host.PeerName(host.Control), endpoint: endpoint, newClient: newClient, suspends: suspends, logger: logger,
-		feed: newFeed(), joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
+		feed: newFeed(), understandPacked: map[string]bool{host.PeerName(host.Control): true}, joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
 		zones: map[string]string{host.PeerName(host.Control): host.Zone}, entryHosts: make(map[string]time.Time), loads: make(map[string]*keyed.Loads), serviceTimes: keyed.NewServiceTimes(),
 	}
 	if err := h.open(now); err != nil {
@@ -72,6 +75,7 @@
 	peer.HandleTyped(endpoint, "heard", h.handleHeartbeats)
 	peer.HandleTyped(endpoint, "hello", h.handleJoinRequest)
 	peer.HandleTyped(endpoint, "zone", h.handleZone)
+	peer.HandleTyped(endpoint, "understands-packed", h.handleUnderstandsPacked)
 	peer.HandleTyped(endpoint, "follow", h.handleFollow)
 	peer.HandleTyped(endpoint, "report", h.handleReport)
 	return h, nil
--- a/internal/core/propose.go
+++ b/internal/core/propose.go
@@ -30,7 +30,14 @@
 	if version >= config.Version {
 		return nil
 	}
-	return h.proposeViaLeader(ctx, realm.Command{AcceptConfig: &realm.AcceptConfig{Config: config, Body: body}})
+	command := realm.Command{AcceptConfig: &realm.AcceptConfig{Config: config, Body: body}}
+	if h.allUnderstandPacked(time.Now()) {
+		var err error
+		if command, err = realm.NewAcceptPacked(command.AcceptConfig); err != nil {
+			return err
+		}
+	}
+	return h.proposeViaLeader(ctx, command)
 }
 
 // proposeViaLeader proposes a command through the leader. After an error the command may or may not be in the log.
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -60,7 +60,7 @@
 			config.InitialMembers = append(config.InitialMembers, h.site.PeerName(seed))
 		}
 	}
-	replica, err := paxos.New(now, config, countingTransport{ctrl.NewTransport(h.endpoint), &h.workload}, store)
+	replica, err := paxos.New(now, config, countingTransport{ctrl.NewTransport(h.endpoint, config.Timing), &h.workload}, store)
 	if err != nil {
 		return err
 	}
--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -50,7 +50,7 @@
 
 // NewController opens the replica of this host and registers the control plane's RPC handlers on the endpoint.
 func NewController(now time.Time, config paxos.Config, endpoint *peer.Endpoint, store *state.Store, logOptions ...walog.Option) (*Controller, error) {
-	replica, err := paxos.New(now, config, Transport{endpoint}, store, logOptions...)
+	replica, err := paxos.New(now, config, NewTransport(endpoint, config.Timing), store, logOptions...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctrl/transport.go
+++ b/internal/ctrl/transport.go
@@ -11,10 +11,13 @@
 // Transport sends the messages of the control log over the RPC connections between hosts.
 type Transport struct {
 	endpoint *peer.Endpoint
+	timeout  time.Duration // time without any bytes after which a call for entries or a snapshot fails
 }
 
 // NewTransport returns a transport that uses the connections of an endpoint.
-func NewTransport(endpoint *peer.Endpoint) Transport { return Transport{endpoint} }
+func NewTransport(endpoint *peer.Endpoint, timing paxos.Timing) Transport {
+	return Transport{endpoint: endpoint, timeout: timing.Timeout}
+}
 
 // Identify requests the identity of the replica that listens under a name.
 func (t Transport) Identify(ctx context.Context, name string) (paxos.Identity, error) {
@@ -23,7 +26,7 @@
 
 // Prepare requests a promise for a ballot from a replica.
 func (t Transport) Prepare(ctx context.Context, name string, args paxos.PrepareArgs) (paxos.PrepareReply, error) {
-	return peer.Call[paxos.PrepareReply](ctx, t.endpoint, name, "prepare", args)
+	return peer.CallWhileReceiving[paxos.PrepareReply](ctx, t.endpoint, name, "prepare", args, t.timeout)
 }
 
 // Accept sends log entries to a replica.
@@ -38,7 +41,7 @@
 
 // Fetch requests a snapshot from a replica.
 func (t Transport) Fetch(ctx context.Context, name string) (paxos.SnapshotMessage, error) {
-	return peer.Call[paxos.SnapshotMessage](ctx, t.endpoint, name, "fetch", struct{}{})
+	return peer.CallWhileReceiving[paxos.SnapshotMessage](ctx, t.endpoint, name, "fetch", struct{}{}, t.timeout)
 }
 
 // Acceptor handles the messages of the control log.
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -175,6 +175,9 @@
 // CallWhileReceiving is like Call with a timeout that begins again as long as a large response arrives, however long the
 // whole of it takes.
 func CallWhileReceiving[R any](ctx context.Context, e *Endpoint, host, method string, params any, timeout time.Duration) (R, error) {
+	if host == e.name {
+		return Call[R](ctx, e, host, method, params)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go func() {
--- a/internal/realm/command.go
+++ b/internal/realm/command.go
@@ -5,6 +5,7 @@
 // Command is a change of the state. Apply applies its fields one after another.
 type Command struct {
 	AcceptConfig *AcceptConfig  `json:"accept,omitempty"`
+	AcceptPacked []byte         `json:"accept-packed,omitempty"` // AcceptConfig, compressed
 	Join         []Upstream     `json:"join,omitempty"`
 	SetPhase     []PhaseChange  `json:"enter,omitempty"`
 	Assignments  []Assignment   `json:"assign,omitempty"`
--- a/internal/realm/realm_test.go
+++ b/internal/realm/realm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"testing"
 
@@ -218,3 +219,28 @@
 	is.NoErr(other.Restore(index, data))
 	is.Equal(other.Since(0), store.Since(0))
 }
+
+// A compressed configuration has the effect of a plain one, with the operator's text byte for byte, and is a fraction of
+// its size in the log. One that can't be decoded changes nothing.
+func TestPackedConfig(t *testing.T) {
+	is := is.New(t)
+	s, apply := newState(t)
+	accept := &AcceptConfig{Config: route.Config{Version: 8, Services: []route.Service{{Name: "s", Keyed: true}}}}
+	for i := range 1000 {
+		accept.Config.Routes = append(accept.Config.Routes, route.Route{Name: fmt.Sprint("r-", i*7919%10007), Host: "h", Prefix: fmt.Sprintf("/%x/", i*104729)})
+	}
+	text, err := json.Marshal(accept.Config)
+	is.NoErr(err)
+	accept.Body = append(text, 0xff, '\n') // not valid UTF-8
+	command, err := NewAcceptPacked(accept)
+	is.NoErr(err)
+	plain, err := json.Marshal(Command{AcceptConfig: accept})
+	is.NoErr(err)
+	is.True(len(command.AcceptPacked) < len(plain)/5)
+	apply(Command{AcceptPacked: command.AcceptPacked[:len(command.AcceptPacked)/2]})
+	is.Equal(s.Version(), uint64(5))
+	apply(command)
+	is.Equal(*s.Config, accept.Config)
+	is.Equal(s.Body, accept.Body)
+	is.Equal(s.ConfigIndex, s.Index)
+}
--- a/internal/realm/state.go
+++ b/internal/realm/state.go
@@ -39,6 +39,12 @@
 	if command.AcceptConfig != nil {
 		s.acceptConfig(command.AcceptConfig)
 	}
+	if len(command.AcceptPacked) > 0 {
+		// All replicas skip a configuration that can't be decoded, as they do with the whole command above.
+		if accept, err := unpackConfig(command.AcceptPacked); err == nil {
+			s.acceptConfig(accept)
+		}
+	}
 	for _, upstream := range command.Join {
 		s.join(upstream)
 	}
--- a/pkg/paxos/elect.go
+++ b/pkg/paxos/elect.go
@@ -73,7 +73,11 @@
 
 // requestPromises sends args to each voter except this replica, and collects replies until a quorum has agreed.
 func (r *Replica) requestPromises(args PrepareArgs, voters []Members) []prepareResult {
-	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), r.timing.Timeout)
+	timeout := r.timing.Timeout
+	if !args.PreVote {
+		timeout = r.timing.maxReplyTime() // promises carry entries
+	}
+	ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), timeout)
 	defer cancel()
 	recipients := r.otherVoters(voters)
 	replies := make(chan prepareResult, len(recipients))
@@ -131,7 +135,7 @@
 		if result.err != nil || !result.reply.NeedsSnapshot {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), r.timing.Timeout)
+		ctx, cancel := context.WithTimeout(r.tomb.Context(context.Background()), r.timing.maxReplyTime())
 		message, err := r.transport.Fetch(ctx, result.member.Name)
 		cancel()
 		if err != nil {
--- a/pkg/paxos/follower.go
+++ b/pkg/paxos/follower.go
@@ -63,12 +63,12 @@
 
 // replicateOnce sends one message and reports whether there is more to send.
 func (r *Replica) replicateOnce(t *tenure, f *follower) (bool, error) {
-	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), r.timing.Timeout)
-	defer cancel()
 	accept, install, err := r.nextMessage(t, f)
 	if err != nil {
 		return false, err
 	}
+	ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), r.timing.timeoutFor(dataBytes(accept, install)))
+	defer cancel()
 	sentAt := time.Now()
 	var reply AcceptReply
 	if install != nil {
@@ -82,6 +82,17 @@
 	return r.handleReply(sentAt, t, f, reply)
 }
 
+// dataBytes returns the size of the data in the message that is not nil.
+func dataBytes(accept *AcceptArgs, install *SnapshotMessage) (bytes int) {
+	if install != nil {
+		return len(install.Data)
+	}
+	for i := range accept.Entries {
+		bytes += len(accept.Entries[i].Data)
+	}
+	return bytes
+}
+
 // nextMessage returns the next message for a follower: entries, or a snapshot if the log no longer holds them.
 func (r *Replica) nextMessage(t *tenure, f *follower) (*AcceptArgs, *SnapshotMessage, error) {
 	r.mu.Lock()
--- a/pkg/paxos/paxos_test.go
+++ b/pkg/paxos/paxos_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -66,6 +67,7 @@
 	blocked  map[[2]string]bool // by sender and recipient
 	wipes    int
 	timing   Timing
+	dataRate int // bytes of entries that a link carries per second, 0 for no limit
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
@@ -178,7 +180,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	c.t.Fatalf("%s was not confirmed within 10 s", command)
+	c.t.Fatalf("%.40s was not confirmed within 10 s", command)
 }
 
 // awaitMembers waits until all replicas are members under their current identities.
@@ -233,6 +235,25 @@
 	return ctx.Err()
 }
 
+// transfer waits for as long as entries take on a link.
+func (tr testTransport) transfer(ctx context.Context, entries []Entry) error {
+	if tr.network.dataRate == 0 {
+		return nil
+	}
+	bytes := 0
+	for _, entry := range entries {
+		bytes += len(entry.Data)
+	}
+	timer := time.NewTimer(time.Duration(bytes) * time.Second / time.Duration(tr.network.dataRate))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func call[A, R any](ctx context.Context, tr testTransport, to string, args A, handle func(*Replica, time.Time, A) (R, error)) (R, error) {
 	var zero R
 	if err := tr.deliver(ctx, tr.from, to); err != nil {
@@ -258,6 +279,9 @@
 }
 
 func (tr testTransport) Accept(ctx context.Context, name string, args AcceptArgs) (AcceptReply, error) {
+	if err := tr.transfer(ctx, args.Entries); err != nil {
+		return AcceptReply{}, err
+	}
 	return call(ctx, tr, name, args, (*Replica).HandleAccept)
 }
 
@@ -282,12 +306,12 @@
 	for name, l := range lists {
 		commands := l.all()
 		if !slices.Equal(commands, longest[:len(commands)]) {
-			t.Fatalf("%s applied %v, which is no prefix of the longest list %v", name, commands, longest)
+			t.Fatalf("%s applied %.400v, which is no prefix of the longest list %.400v", name, commands, longest)
 		}
 	}
 	for _, command := range confirmed {
 		if !slices.Contains(longest, command) {
-			t.Fatalf("confirmed command %s is missing from %v", command, longest)
+			t.Fatalf("confirmed command %.40s is missing from %d commands", command, len(longest))
 		}
 	}
 }
@@ -306,6 +330,19 @@
 	})
 }
 
+// An entry that takes longer to send than a message of the usual size may take is not sent over and over in vain.
+func TestLargeEntryReachesSlowReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		defer c.stopAll()
+		c.propose("small")
+		c.dataRate = 1_300_000
+		large := strings.Repeat("x", 600_000)
+		c.propose(large)
+		checkAgreement(t, c.lists, []string{"small", large})
+	})
+}
+
 func TestLostLeaderIsReplacedWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/pkg/paxos/replica.go
+++ b/pkg/paxos/replica.go
@@ -34,10 +34,26 @@
 	Lease          time.Duration // how long a follower stays with a leader after the leader's last message
 	Heartbeat      time.Duration // the longest pause between two messages of the leader to a follower
 	ElectionJitter time.Duration // the largest random delay that is added to Lease before an election
-	Timeout        time.Duration // timeout of a call to another replica
+	Timeout        time.Duration // timeout of a call to another replica, for messages of a usual size
 	SnapshotEvery  uint64        // number of committed entries between two snapshots
 }
 
+// minDataRate is the least number of bytes per second at which entries and snapshots are assumed to reach another
+// replica, with the time to encode and to store them.
+const minDataRate = 1 << 20
+
+// timeoutFor returns the timeout of a call with some bytes of data. A message that is too large for a constant timeout
+// would be sent again and again, and never arrive.
+func (t Timing) timeoutFor(bytes int) time.Duration {
+	return t.Timeout + time.Duration(bytes)*time.Second/minDataRate
+}
+
+// maxReplyTime is the longest time in which a reply with data may arrive. Its size is not known in advance; a transport
+// should end the call before if nothing arrives for Timeout.
+func (t Timing) maxReplyTime() time.Duration { return replyTimeouts * t.Timeout }
+
+const replyTimeouts = 5
+
 // DefaultTiming returns the timing for replicas in zones that are a few milliseconds apart.
 func DefaultTiming() Timing {
 	return Timing{
