Bound what an upstream without end can make an entry host hold

An upstream in trouble may send bytes that are no answer without end, in a head or in a body, until the connection is closed. An entry host read all of a head, all interim responses, all of a body of unknown length, and all of an answer to another request into memory or at full speed until the request's deadline: on loopback more than half of a small host's memory within a second, for one request. All callers of a host lose their requests when it runs out of memory.

Heads, with the interim responses before them, are now limited to 64 KB; bodies that are dropped to 256 KB; a body of unknown length is passed on in chunks as it arrives, so that nothing is held and a body that breaks off can be told from a complete one. A caller of HTTP/1.0, which can't, gets up to 4 MB and else 502. The body of a refusal that was not read to its end no longer goes back to the pool with its connection.

TestBytesWithoutEnd failed in all nine cases before.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -15,6 +15,7 @@
 // Limits of a single attempt.
 const (
 	maxBufferedBody = 256 << 10 // bytes of a response that are buffered before any of it is sent to the caller
+	maxUnframedBody = 4 << 20   // bytes of a body of unknown length for a caller that does not read chunks
 	maxMismatched   = 3         // consecutive mismatched responses after which the attempt fails
 )
 
@@ -40,7 +41,7 @@
 		return f.recordFailure(ctx, c, u, err)
 	}
 	if info.IsNotRun {
-		_, _, err := http1.ReadBody(response, maxBufferedBody)
+		err := http1.DiscardBody(response, maxBufferedBody)
 		f.release(u, conn, stop(), response, err)
 		return f.recordNotRun(c, u, response, info)
 	}
@@ -100,7 +101,7 @@
 		info := f.codec.ParseResponse(response.StatusCode, response.Header, c.info.ID, u.registration.ID)
 		if info.IsMismatched {
 			f.stats.Mismatched.Add(1)
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			if err := http1.DiscardBody(response, maxBufferedBody); err != nil {
 				return nil, info, err
 			}
 			continue
@@ -187,17 +188,11 @@
 	return shed
 }
 
-// stream relays a response that is larger than maxBufferedBody; prefix is the part of the body that has been read. A
-// body without a Content-Length is read completely first.
+// stream relays a response that is larger than maxBufferedBody; prefix is the part of the body that has been read.
 func stream(x *http1.Exchange, response *http.Response, prefix []byte) error {
 	header := endToEndHeaders(response.Header)
-	if response.ContentLength < 0 {
-		rest, err := io.ReadAll(response.Body)
-		if err != nil {
-			return err
-		}
-		x.Reply(response.StatusCode, header, append(prefix, rest...))
-		return nil
+	if response.ContentLength < 0 && !x.Request.ProtoAtLeast(1, 1) {
+		return replyWhole(x, response, header, prefix)
 	}
 	if err := x.Begin(response.StatusCode, header, response.ContentLength); err != nil {
 		return err
@@ -208,6 +203,19 @@
 	if _, err := io.Copy(x, response.Body); err != nil {
 		return err
 	}
-	x.End()
+	return x.End()
+}
+
+// replyWhole relays a response of unknown length to a caller that could not tell a truncated body from a complete one.
+func replyWhole(x *http1.Exchange, response *http.Response, header http.Header, prefix []byte) error {
+	rest, more, err := http1.ReadBody(response, maxUnframedBody)
+	if err == nil && more {
+		err = http1.ErrBodyTooLong
+	}
+	if err != nil {
+		x.Reply(http.StatusBadGateway, http.Header{}, []byte("the upstream gave no whole answer\n"))
+		return err
+	}
+	x.Reply(response.StatusCode, header, append(prefix, rest...))
 	return nil
 }
--- /dev/null
+++ b/internal/front/faulty_test.go
@@ -0,0 +1,217 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"lovagelink.example/lovagelink/internal/calls"
+	"lovagelink.example/lovagelink/internal/peer"
+	"lovagelink.example/lovagelink/internal/realm"
+	"lovagelink.example/lovagelink/internal/route"
+	"lovagelink.example/lovagelink/internal/site"
+)
+
+// testCodec describes requests and responses by short headers.
+type testCodec struct{}
+
+func (testCodec) Read(h http.Header) calls.RequestInfo { return calls.RequestInfo{ID: h.Get("Id")} }
+
+func (testCodec) Write(http.Header, string, time.Duration) {}
+
+func (testCodec) ParseResponse(_ int, h http.Header, id, _ string) calls.ResponseInfo {
+	return calls.ResponseInfo{
+		MatchesID: h.Get("Id") == id, IsMismatched: h.Get("Id") != "" && h.Get("Id") != id,
+		IsSigned: h.Get("Signed") != "", IsNotRun: h.Get("Not-Run") != "",
+	}
+}
+
+// faultyUpstream runs a script for each request; seenHere says whether the request came on the same connection before.
+type faultyUpstream struct {
+	address netip.AddrPort
+
+	mu   sync.Mutex
+	seen map[string]bool
+	ran  map[string]int // executions by request id
+}
+
+func newFaultyUpstream(t *testing.T, script func(u *faultyUpstream, conn net.Conn, id string, seenHere bool)) *faultyUpstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	u := &faultyUpstream{address: netip.MustParseAddrPort(listener.Addr().String()), seen: make(map[string]bool), ran: make(map[string]int)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				seenHere := make(map[string]bool)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					id := request.Header.Get("Id")
+					script(u, conn, id, seenHere[id])
+					seenHere[id] = true
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+// isFirst reports whether a request has not arrived before.
+func (u *faultyUpstream) isFirst(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	defer func() { u.seen[id] = true }()
+	return !u.seen[id]
+}
+
+func (u *faultyUpstream) run(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ran[id]++
+}
+
+func (u *faultyUpstream) executionsOf(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ran[id]
+}
+
+// startFront serves callers and routes /once/ and /often/ to the upstreams of one service. It returns the URL.
+func startFront(t *testing.T, upstreams ...*faultyUpstream) string {
+	t.Helper()
+	f := New(site.Host{Name: "front", Bounds: site.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 600}}, peer.NewDynamic(peer.TCP{}, "front", netip.AddrPort{}), testCodec{}, log.NewNopLogger())
+	destinations := []route.Destination{{Service: "s", Weight: 1}}
+	update := realm.Update{Index: 1, Config: &route.Config{Version: 1, Services: []route.Service{{Name: "s"}}, Routes: []route.Route{
+		{Name: "once", Host: "a.example", Prefix: "/once/", Timeout: time.Second, LatencyTarget: time.Second, Attempts: 3, Destinations: destinations},
+		{Name: "often", Host: "a.example", Prefix: "/often/", Repeat: route.Idempotent, Timeout: time.Second, LatencyTarget: time.Second, Attempts: 1, Destinations: destinations},
+	}}}
+	for i, u := range upstreams {
+		update.Upstreams = append(update.Upstreams, realm.Upstream{
+			Instance: realm.Instance{ID: fmt.Sprint("u", i), StartMillis: 1}, Service: "s", Address: u.address, Concurrency: 2,
+		})
+	}
+	view, err := (&View{}).With(time.Now(), update)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.view.Store(view)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() { _ = f.server.Serve(listener) }()
+	return "http://" + listener.Addr().String()
+}
+
+// ask sends a request; status 0 means that there was no complete response.
+func ask(t *testing.T, client *http.Client, url, id string) (status int, body string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "a.example"
+	request.Header.Set("Id", id)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(text)
+}
+
+// An upstream that sends bytes without end, in a head or in a body, uses a bounded amount of memory of this host, and its
+// caller gets no answer that looks complete.
+func TestBytesWithoutEnd(t *testing.T) {
+	const okHead = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r\r\n"
+	for name, c := range map[string]struct{ start, repeated string }{
+		"status line":            {"HTTP/1.1 200 ", strings.Repeat("x", 4096)},
+		"headers":                {okHead, "X-Filler: " + strings.Repeat("x", 1000) + "\r\n"},
+		"one header":             {okHead + "X-Filler: ", strings.Repeat("x", 4096)},
+		"interim responses":      {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"body of unknown length": {okHead + "\r\n", strings.Repeat("x", 4096)},
+		"chunks":                 {okHead + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+		"body of a refusal":      {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: r\r\n\r\n", strings.Repeat("x", 4096)},
+		"body of another answer": {"HTTP/1.1 200 OK\r\nSigned: 1\r\nId: other\r\n\r\n", strings.Repeat("x", 4096)},
+		"no answer at all":       {"", strings.Repeat("x", 4096)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := newFaultyUpstream(t, func(_ *faultyUpstream, conn net.Conn, _ string, _ bool) {
+				_, err := io.WriteString(conn, c.start)
+				for err == nil {
+					_, err = io.WriteString(conn, c.repeated)
+				}
+			})
+			url := startFront(t, u)
+			heap := watchHeap(t)
+			status, _ := ask(t, &http.Client{}, url+"/once/x", "r")
+			is.True(status == 0 || status >= http.StatusBadGateway)
+			is.True(heap() < maxHeapBytes)
+		})
+	}
+}
+
+// maxHeapBytes is half of the memory of the platform's smallest hosts.
+const maxHeapBytes = 92 << 20
+
+// watchHeap returns a function that stops and returns the largest size of the heap since the call.
+func watchHeap(t *testing.T) func() uint64 {
+	t.Helper()
+	stop, largest := make(chan struct{}), make(chan uint64)
+	go func() {
+		ticker := time.NewTicker(20 * time.Millisecond)
+		defer ticker.Stop()
+		most := uint64(0)
+		for {
+			var stats runtime.MemStats
+			runtime.ReadMemStats(&stats)
+			most = max(most, stats.HeapInuse)
+			select {
+			case <-ticker.C:
+			case <-stop:
+				largest <- most
+				return
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		return <-largest
+	}
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -33,6 +33,7 @@
 // ClientConn is a connection to an upstream. It carries one request at a time.
 type ClientConn struct {
 	raw         net.Conn
+	limited     *limitedReader
 	reader      *bufio.Reader
 	lastUsed    time.Time     // when the connection was opened, or last carried a complete response
 	keepAlive   time.Duration // how long the idle connection can be reused, 0 if the upstream announced no timeout
@@ -52,7 +53,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	return &ClientConn{raw: raw, reader: bufio.NewReaderSize(raw, bufferSize), lastUsed: now}, nil
+	limited := &limitedReader{raw: raw, limit: -1}
+	return &ClientConn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, bufferSize), lastUsed: now}, nil
 }
 
 // Outgoing is a request to be sent to an upstream.
@@ -127,8 +129,15 @@
 // write does not wait for the upstream to read.
 const maxInlineBody = 8 << 10
 
-// Receive reads the head of the next final response, and skips interim (1xx) responses.
+// maxResponseHead limits the head of a response, together with the interim responses before it, in bytes. A faulty
+// upstream may send bytes without end.
+const maxResponseHead = 64 << 10
+
+// Receive reads the head of the next final response, and skips interim (1xx) responses. An upstream that sends more than
+// maxResponseHead bytes before the body is an error.
 func (c *ClientConn) Receive(method string) (*http.Response, error) {
+	c.limited.limit = maxResponseHead
+	defer func() { c.limited.limit = -1 }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -179,6 +188,18 @@
 	return !response.Close && c.reader.Buffered() == 0 && response.ContentLength >= -1
 }
 
+// ErrBodyTooLong is returned by DiscardBody.
+var ErrBodyTooLong = errors.New("the body of the response is over the limit")
+
+// DiscardBody reads and drops the rest of a body; the error is ErrBodyTooLong if it is longer than the limit.
+func DiscardBody(response *http.Response, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, limit+1))
+	if err == nil && n > limit {
+		return ErrBodyTooLong
+	}
+	return err
+}
+
 // ReadBody reads the body of a response up to a limit. The result more is true if the limit was reached, so that the
 // body may continue.
 func ReadBody(response *http.Response, limit int64) (body []byte, more bool, err error) {
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -144,3 +144,36 @@
 		})
 	}
 }
+
+// A head that breaks off at any byte, by an orderly close or a reset, is no response: what has been read of it could pass
+// for a response with a shorter or an empty body.
+func TestHeadThatBreaksOff(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Signature: abc\r\nContent-Length: 1234\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Signature: abc\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Signature: abc\r\n folded\r\n\r\n",
+		"HTTP/1.1 200 OK\nX-Signature: abc\nContent-Length: 1234\n\n",
+	} {
+		for length := range len(head) {
+			for _, isReset := range []bool{false, true} {
+				is := is.New(t)
+				address := upstream(t, func(conn net.Conn, r *bufio.Reader) {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, head[:length])
+					if isReset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+				})
+				client := connect(t, address)
+				is.NoErr(client.Send(Outgoing{Method: "GET", Target: "/", Host: "a", Header: http.Header{}}))
+				response, err := client.Receive("GET")
+				if err == nil {
+					t.Fatalf("%q passed for a response: %+v", head[:length], response)
+				}
+				client.Close()
+			}
+		}
+	}
+}
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -18,6 +21,7 @@
 	finished   chan struct{}
 	closeAfter bool
 	complete   bool // a complete response was written
+	chunked    bool // the body is sent in chunks
 }
 
 // PriorDone returns a channel that is closed when all earlier requests on the connection have been finished. A caller
@@ -41,22 +45,56 @@
 	x.complete = x.write(status, header, body) == nil
 }
 
-// Begin writes the head of a response whose body has a known length. Calls of Write and End follow.
+// ErrNoFraming is returned by Begin for a body of unknown length to a caller that does not read chunks: the caller could
+// not tell a body that breaks off from a complete one.
+var ErrNoFraming = errors.New("a caller of HTTP/1.0 can't be sent a body of unknown length")
+
+// Begin writes the head of a response whose body has a known length, or an unknown one if length is negative. Calls of
+// Write and End follow.
 func (x *Exchange) Begin(status int, header http.Header, length int64) error {
-	header.Set("Content-Length", itoa(int(length)))
+	if x.chunked = length < 0; !x.chunked {
+		header.Set("Content-Length", strconv.FormatInt(length, 10))
+		return x.write(status, header, nil)
+	}
+	if !x.Request.ProtoAtLeast(1, 1) {
+		return ErrNoFraming
+	}
+	header.Set("Transfer-Encoding", "chunked")
 	return x.write(status, header, nil)
 }
 
 // Write writes a part of the response body.
 func (x *Exchange) Write(part []byte) (int, error) {
+	if !x.chunked {
+		return x.writeRaw(part)
+	}
+	if len(part) == 0 {
+		return 0, nil // an empty chunk would end the body
+	}
+	chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", len(part), part)
+	if _, err := x.writeRaw(chunk); err != nil {
+		return 0, err
+	}
+	return len(part), nil
+}
+
+func (x *Exchange) writeRaw(data []byte) (int, error) {
 	if err := x.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return x.conn.raw.Write(part)
+	return x.conn.raw.Write(data)
 }
 
-// End marks the response body as complete.
-func (x *Exchange) End() { x.complete = true }
+// End ends the response body; without it the caller can tell that the body is incomplete.
+func (x *Exchange) End() error {
+	if x.chunked {
+		if _, err := x.writeRaw([]byte("0\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	x.complete = true
+	return nil
+}
 
 func (x *Exchange) write(status int, header http.Header, body []byte) error {
 	<-x.priorDone
@@ -74,6 +112,6 @@
 	}
 	out.WriteString("\r\n")
 	out.Write(body)
-	_, err := x.Write(out.Bytes())
+	_, err := x.writeRaw(out.Bytes())
 	return err
 }
--- a/internal/http1/limited.go
+++ b/internal/http1/limited.go
@@ -5,7 +5,7 @@
 	"net"
 )
 
-var errTooLarge = errors.New("the head of the request is over the limit")
+var errTooLarge = errors.New("the head of the message is over the limit")
 
 // limitedReader reads from a connection up to a limit.
 type limitedReader struct {
