Take no refusal that an upstream may be repeating

A faulty upstream may write an earlier refusal once more on a connection that is kept open. An entry host sends a refused request again to the same upstream, the owner of its key, and took the connection that was used last for it, on which the refusal of the same id had come. The repeated refusal then passed for the upstream's word that the request had not run, while it was running: the host sent it once more (TWICE), or told the caller to try again (REFUSED). A refusal without an id could pass for that of any request on its connection.

A connection now remembers the ids that were refused on it, and does not carry them again; a connection that got a refusal without an id is closed after it, and such a refusal counts only if none came on the connection before. Refusals are told apart by their id or by their connection, so a repeated one finds no request that it could be taken for.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -28,7 +28,7 @@
 // before that can still be retried.
 func (f *Front) attempt(ctx context.Context, c *call, u *upstream) result {
 	start := time.Now()
-	conn, err := u.connect(ctx, start, c.route.Repeat != route.Idempotent)
+	conn, err := u.connect(ctx, start, c.info.ID, c.route.Repeat != route.Idempotent)
 	if err != nil {
 		f.recordDialFailure(ctx, c, u, err)
 		return unsent
@@ -108,7 +108,11 @@
 		}
 		response.Close = response.Close || mismatched > 0 // an upstream that has sent a surplus response may send more
 		switch {
+		case info.IsNotRun && !info.MatchesID && conn.HasRefusals():
+			return nil, info, errUnconfirmedNotRun // it may be an earlier refusal, written once more
 		case info.IsNotRun:
+			conn.RecordRefusal(c.info.ID)
+			response.Close = response.Close || !info.MatchesID
 			return response, info, nil
 		case !info.MatchesID || !info.IsSigned:
 			return nil, info, errUnsigned
--- a/internal/front/faulty_test.go
+++ b/internal/front/faulty_test.go
@@ -155,6 +155,39 @@
 	return response.StatusCode, string(text)
 }
 
+// An upstream that refuses a request, is sent it again on the same connection, runs it and writes the refusal once more
+// must not make the caller believe that it has not run, nor the request run twice.
+func TestRefusalWrittenOnceMore(t *testing.T) {
+	for name, headerOf := range map[string]func(id string) string{
+		"with the id of the request": func(id string) string { return "Id: " + id + "\r\n" },
+		"without an id":              func(string) string { return "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := newFaultyUpstream(t, func(u *faultyUpstream, conn net.Conn, id string, seenHere bool) {
+				refusal := "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + headerOf(id) + "Content-Length: 0\r\n\r\n"
+				if u.isFirst(id) {
+					_, _ = io.WriteString(conn, refusal)
+					return
+				}
+				u.run(id)
+				if seenHere {
+					_, _ = io.WriteString(conn, refusal)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: "+id+"\r\nContent-Length: 3\r\n\r\nran")
+			})
+			url := startFront(t, u)
+			for i := range 4 {
+				id := fmt.Sprint("r", i)
+				status, body := ask(t, &http.Client{}, url+"/once/x", id)
+				is.Equal(status, http.StatusOK)
+				is.Equal(body, "ran")
+				is.Equal(u.executionsOf(id), 1)
+			}
+		})
+	}
+}
+
 // An upstream that sends bytes without end, in a head or in a body, uses a bounded amount of memory of this host, and its
 // caller gets no answer that looks complete.
 func TestBytesWithoutEnd(t *testing.T) {
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -209,22 +210,18 @@
 	maxIdleConns         = 4
 )
 
-// connect returns an idle connection from the pool or opens a new one.
-func (u *upstream) connect(ctx context.Context, now time.Time, isNonIdempotent bool) (*http1.ClientConn, error) {
+// connect returns an idle connection from the pool, on which the upstream has not refused the request before, or opens a
+// new one.
+func (u *upstream) connect(ctx context.Context, now time.Time, requestID string, isNonIdempotent bool) (*http1.ClientConn, error) {
 	limit := maxIdleTime
 	if isNonIdempotent {
 		limit = maxIdleNonIdempotent
 	}
 	for {
-		u.mu.Lock()
-		n := len(u.idle)
-		if n == 0 {
-			u.mu.Unlock()
+		conn := u.takeIdle(requestID)
+		if conn == nil {
 			break
 		}
-		conn := u.idle[n-1]
-		u.idle = u.idle[:n-1]
-		u.mu.Unlock()
 		if conn.IsReusable(now, limit) {
 			return conn, nil
 		}
@@ -235,6 +232,20 @@
 	return http1.Dial(ctx, now, u.registration.Address)
 }
 
+// takeIdle removes from the pool the connection that was used last, of those on which the upstream has not refused a
+// request, and returns it; it returns nil if there is none.
+func (u *upstream) takeIdle(requestID string) *http1.ClientConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i := len(u.idle) - 1; i >= 0; i-- {
+		if conn := u.idle[i]; !conn.HasRefused(requestID) {
+			u.idle = slices.Delete(u.idle, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
 // putIdle returns a connection to the pool, or closes it if the pool is full or the upstream has ended.
 func (u *upstream) putIdle(conn *http1.ClientConn) {
 	u.mu.Lock()
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -35,11 +35,30 @@
 	raw         net.Conn
 	limited     *limitedReader
 	reader      *bufio.Reader
-	lastUsed    time.Time     // when the connection was opened, or last carried a complete response
-	keepAlive   time.Duration // how long the idle connection can be reused, 0 if the upstream announced no timeout
-	bodyWritten chan struct{} // closed when the last request with a large body has been written, nil if there was none
+	lastUsed    time.Time       // when the connection was opened, or last carried a complete response
+	keepAlive   time.Duration   // how long the idle connection can be reused, 0 if the upstream announced no timeout
+	bodyWritten chan struct{}   // closed when the last request with a large body has been written, nil if there was none
+	refused     map[string]bool // ids of the requests that the upstream has refused on this connection
 }
 
+// maxRefused is the number of refused requests after which a connection is not reused.
+const maxRefused = 64
+
+// RecordRefusal records that the upstream has refused a request. A faulty upstream may write the refusal once more, at
+// any time: the connection must not carry the request again.
+func (c *ClientConn) RecordRefusal(id string) {
+	if c.refused == nil {
+		c.refused = make(map[string]bool)
+	}
+	c.refused[id] = true
+}
+
+// HasRefusals reports whether the upstream has refused any request on this connection.
+func (c *ClientConn) HasRefusals() bool { return len(c.refused) > 0 }
+
+// HasRefused reports whether the upstream has refused a request on this connection.
+func (c *ClientConn) HasRefused(id string) bool { return c.refused[id] }
+
 // Dial connects to an upstream.
 func Dial(ctx context.Context, now time.Time, address netip.AddrPort) (*ClientConn, error) {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
@@ -185,7 +204,7 @@
 			return false
 		}
 	}
-	return !response.Close && c.reader.Buffered() == 0 && response.ContentLength >= -1
+	return !response.Close && c.reader.Buffered() == 0 && response.ContentLength >= -1 && len(c.refused) < maxRefused
 }
 
 // ErrBodyTooLong is returned by DiscardBody.
