Close a dispatcher's connection on which an upstream has refused a request

The dispatchers of the product's own path had the fault of the entry hosts: a refusal that a faulty upstream writes once more on a connection that is kept open passed for the verdict on the next request, and the caller was told not-run for a request that was running. These upstreams need not repeat the id in a refusal, so the connection is not used again after one. TestRefusalWrittenOnceMore failed before (one connection for all requests).

--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -117,6 +117,10 @@
 		return d.failedOutcome(err, r, wasSent)
 	}
 	defer response.Body.Close()
+	if verd.Parse(response.Header.Get(upapi.HeaderVerdict)) == verd.NotRun {
+		// A faulty upstream may write the refusal once more, which would then pass for that of the next request.
+		once.Retire(response)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return d.failedOutcome(err, r, true)
--- a/internal/disp/send_test.go
+++ b/internal/disp/send_test.go
@@ -85,6 +85,64 @@
 	}
 }
 
+// serveRefusingTwice serves an upstream that refuses the first request on each connection. It runs the second one and
+// writes the refusal once more in place of an answer.
+func serveRefusingTwice(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, _ = conn.Write([]byte("HTTP/1.1 503 Full\r\nContent-Length: 0\r\nRequest-Id: r\r\nLovagelink-Verdict: not-run\r\n\r\n"))
+			}
+		}()
+	}
+}
+
+// No request is sent on a connection on which one was refused: a refusal that the upstream writes once more would say
+// of the second request that it has not run.
+func TestRefusalWrittenOnceMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memnet.New(func(_, _ memnet.Place) time.Duration { return time.Millisecond })
+		address, err := network.NextAddress()
+		is.NoErr(err)
+		listener, err := network.At("a", "u").Listen(address)
+		is.NoErr(err)
+		counted := &countingListener{Listener: listener}
+		go serveRefusingTwice(counted)
+		d := newDispatcherOn(network)
+		d.upstream.Address = address
+		defer d.client.CloseIdleConnections()
+		defer listener.Close()
+		for i := range 5 {
+			is.Equal(d.sendForTest(t, Request{ID: "r", Method: http.MethodPost, Path: "/plan/wall"}).Verdict, verd.NotRun)
+			is.Equal(counted.accepted.Load(), int64(i+1))
+		}
+	})
+}
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return conn, err
+}
+
 // newWithDroppingUpstream returns a dispatcher and its upstream, which drops connections.
 func newWithDroppingUpstream(t *testing.T, isLost bool) (*Dispatcher, *droppingUpstream) {
 	network := memnet.New(func(_, _ memnet.Place) time.Duration { return time.Millisecond })
--- a/internal/once/client.go
+++ b/internal/once/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -42,9 +44,34 @@
 	if err != nil {
 		return nil, used.end(), err
 	}
+	response.Body = &body{ReadCloser: response.Body, conn: used.conn}
 	return response, true, nil
 }
 
+// body is the body of a response, with the connection that it arrives on.
+type body struct {
+	io.ReadCloser
+	conn      *conn
+	isRetired bool
+}
+
+// Close ends reading, and closes a retired connection.
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	if b.isRetired {
+		err = errors.Join(err, b.conn.Close())
+	}
+	return err
+}
+
+// Retire makes the connection of a response of Do carry no further request. It is closed together with the body.
+func Retire(response *http.Response) {
+	if b, ok := response.Body.(*body); ok && b.conn != nil {
+		b.conn.stopWriting()
+		b.isRetired = true
+	}
+}
+
 // CloseIdleConnections closes the pooled connections that carry no request at present.
 func (c *Client) CloseIdleConnections() {
 	c.http.CloseIdleConnections()
