Limit the heads that upstreams send to grant calls and dispatchers

net/http reads up to 10 MB of a head by default, and a leader calls hundreds of upstreams at a time: a few that send heads without end could take its memory. The limit is now 64 KB, as for entry hosts. No test of its own: the bound is a setting of net/http, and TestBytesWithoutEnd covers the entry hosts' reader.

--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -19,6 +19,7 @@
 // Limits of a response and of a connection to an upstream.
 const (
 	maxResponseBytes = 16 << 20
+	maxHeadBytes     = 64 << 10               // of a response; a faulty upstream may send a head without end
 	idleTimeout      = 250 * time.Millisecond // a connection that is idle for longer may have failed silently
 	grantIdleTimeout = 30 * time.Second       // kept open longer, so that a silent failure shows as a missed grant
 )
@@ -30,6 +31,8 @@
 		MaxIdleConnsPerHost: max(connections, 1),
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	})
 }
 
