--- a/internal/front/view.go
+++ b/internal/front/view.go
@@ -74,9 +74,7 @@
 			next.Ranges[service] = ranges
 		}
 		for service, changed := range update.Ranges {
-			for _, r := range changed {
-				next.Ranges[service] = next.Ranges[service].Put(r)
-			}
+			next.Ranges[service] = next.Ranges[service].PutAll(changed)
 		}
 	}
 	return next, nil
--- a/internal/realm/keys.go
+++ b/internal/realm/keys.go
@@ -74,6 +74,37 @@
 	return slices.Insert(next, i, replacement).merged()
 }
 
+// PutAll returns the ranges with all replacements inserted, as Put does it for one. The replacements are sorted and don't
+// overlap.
+func (r Ranges) PutAll(replacements Ranges) Ranges {
+	next := make(Ranges, 0, len(r)+2*len(replacements))
+	i := 0
+	for _, current := range r {
+		for i < len(replacements) && replacements[i].To < current.From {
+			i++
+		}
+		from := int(current.From)
+		for j := i; j < len(replacements) && replacements[j].From <= current.To; j++ {
+			if from < int(replacements[j].From) {
+				next = append(next, current.within(from, int(replacements[j].From)-1))
+			}
+			from = int(replacements[j].To) + 1
+		}
+		if from <= int(current.To) {
+			next = append(next, current.within(from, int(current.To)))
+		}
+	}
+	next = append(next, replacements...)
+	slices.SortFunc(next, func(a, b Range) int { return int(a.From) - int(b.From) })
+	return next.merged()
+}
+
+// within returns the part of a range between two keys.
+func (r Range) within(from, to int) Range {
+	r.KeyRange = KeyRange{uint16(from), uint16(to)}
+	return r
+}
+
 // Cut returns the ranges with the given keys removed.
 func (r Ranges) Cut(keys KeyRange) Ranges {
 	var next Ranges
@@ -98,7 +129,7 @@
 
 // merged returns the ranges with adjacent ranges merged if they differ in nothing but their keys and Changed.
 func (r Ranges) merged() Ranges {
-	var next Ranges
+	next := make(Ranges, 0, len(r))
 	for _, current := range r {
 		if n := len(next); n > 0 && next[n-1].sameOwnership(current) && int(next[n-1].To)+1 == int(current.From) {
 			next[n-1].To = current.To
--- a/internal/realm/realm_test.go
+++ b/internal/realm/realm_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -244,3 +245,29 @@
 	is.Equal(s.Body, accept.Body)
 	is.Equal(s.ConfigIndex, s.Index)
 }
+
+// PutAll leads to the same owners as Put for one range after another.
+func TestPutAllAgainstPut(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(token uint64) (ranges Ranges) {
+			for key := rapid.IntRange(0, 8).Draw(rt, "first"); key < 60; {
+				to := key + rapid.IntRange(0, 9).Draw(rt, "more")
+				owner := newInstance(rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "owner"), 1)
+				ranges = append(ranges, Range{KeyRange: KeyRange{uint16(key), uint16(to)}, Owner: owner, FencingToken: token})
+				key = to + 1 + rapid.IntRange(0, 9).Draw(rt, "gap")
+			}
+			return ranges
+		}
+		before, changes := draw(1).merged(), draw(2)
+		if rapid.Bool().Draw(rt, "last key") {
+			changes = append(changes, Range{KeyRange: KeyRange{65530, 65535}, Owner: newInstance("a", 1), FencingToken: 2})
+		}
+		want := before
+		for _, r := range changes {
+			want = want.Put(r)
+		}
+		if got := before.PutAll(changes); !slices.Equal(got, want) {
+			rt.Fatalf("%+v with %+v: got %+v, want %+v", before, changes, got, want)
+		}
+	})
+}
