--- a/internal/peer/endpoint_test.go
+++ b/internal/peer/endpoint_test.go
@@ -64,7 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		network := memnet.New(func(_, _ memnet.Place) time.Duration { return time.Millisecond })
-		network.SetRate(func(to memnet.Place) int { return 10_000 })
+		network.SetRate(func(memnet.Place) int { return 10_000 })
 		addresses := make(map[string]netip.AddrPort)
 		for _, name := range []string{"a", "b"} {
 			addresses[name], _ = network.NextAddress()
--- a/internal/route/change.go
+++ b/internal/route/change.go
@@ -5,26 +5,26 @@
 // Change holds what differs between two configurations. It is as small as the difference: a configuration may have
 // thousands of routes, of which an operator changes a few at a time.
 type Change struct {
-	From     uint64     `json:"from"` // version of the configuration that the change applies to
-	Version  uint64     `json:"version"`
-	Services []Service  `json:"services"` // all services of the new configuration
-	Limits   Limits     `json:"limits"`
-	Set      []Route    `json:"set,omitempty"`    // routes that are new or differ
-	Remove   []RouteKey `json:"remove,omitempty"` // routes that the new configuration lacks
+	From     uint64    `json:"from"` // version of the configuration that the change applies to
+	Version  uint64    `json:"version"`
+	Services []Service `json:"services"` // all services of the new configuration
+	Limits   Limits    `json:"limits"`
+	Set      []Route   `json:"set,omitempty"`    // routes that are new or differ
+	Remove   []Key     `json:"remove,omitempty"` // routes that the new configuration lacks
 }
 
-// RouteKey identifies a route within a configuration.
-type RouteKey struct {
+// Key identifies a route within a configuration.
+type Key struct {
 	Host   string `json:"host"`
 	Prefix string `json:"prefix"`
 }
 
-func (r *Route) key() RouteKey { return RouteKey{r.Host, r.Prefix} }
+func (r *Route) key() Key { return Key{r.Host, r.Prefix} }
 
 // Diff returns the change that turns one configuration into another.
 func Diff(from, to *Config) *Change {
 	change := &Change{From: from.Version, Version: to.Version, Services: to.Services, Limits: to.Limits}
-	before := make(map[RouteKey]*Route, len(from.Routes))
+	before := make(map[Key]*Route, len(from.Routes))
 	for i := range from.Routes {
 		before[from.Routes[i].key()] = &from.Routes[i]
 	}
@@ -49,7 +49,7 @@
 	if from == nil || from.Version != c.From {
 		return nil
 	}
-	replaced := make(map[RouteKey]bool, len(c.Set)+len(c.Remove))
+	replaced := make(map[Key]bool, len(c.Set)+len(c.Remove))
 	for i := range c.Set {
 		replaced[c.Set[i].key()] = true
 	}
--- a/pkg/paxos/paxos_test.go
+++ b/pkg/paxos/paxos_test.go
@@ -237,14 +237,17 @@
 
 // transfer waits for as long as entries take on a link.
 func (tr testTransport) transfer(ctx context.Context, entries []Entry) error {
-	if tr.network.dataRate == 0 {
+	tr.network.mu.Lock()
+	rate := tr.network.dataRate
+	tr.network.mu.Unlock()
+	if rate == 0 {
 		return nil
 	}
 	bytes := 0
 	for _, entry := range entries {
 		bytes += len(entry.Data)
 	}
-	timer := time.NewTimer(time.Duration(bytes) * time.Second / time.Duration(tr.network.dataRate))
+	timer := time.NewTimer(time.Duration(bytes) * time.Second / time.Duration(rate))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -336,7 +339,9 @@
 		c := newCluster(t, "a", "b", "c")
 		defer c.stopAll()
 		c.propose("small")
+		c.mu.Lock()
 		c.dataRate = 1_300_000
+		c.mu.Unlock()
 		large := strings.Repeat("x", 600_000)
 		c.propose(large)
 		checkAgreement(t, c.lists, []string{"small", large})
