Let entry and control hosts of the former release follow along

A reply to a follow call had the update in another form than before, so during an upgrade the hosts of one release would have got no updates from those of the other. A follower now says that it reads encoded updates; without that it gets the update in the former form with the whole configuration, and a host of this release reads both forms (TestFollowReplyForms).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,10 +47,8 @@
 	replicaStore *replicaStore
 	joinRequests map[string]time.Time // time of the last join request, by name of the host that wants to be a member
 	heartbeats   *heartbeats
-	zones        map[string]string // availability zone by name of the control host
-
-	understandPacked map[string]bool // names of the control hosts that understand compressed configurations
-
+	zones        map[string]string    // availability zone by name of the control host
+	packsConfigs map[string]bool      // whether a control host understands compressed configurations, by name
 	entryHosts   map[string]time.Time // time of the last report, by name of the entry host
 	loads        map[string]*keyed.Loads
 	serviceTimes *keyed.ServiceTimes
@@ -63,7 +61,7 @@
 func New(now time.Time, host site.Host, endpoint *peer.Endpoint, newClient func() UpstreamClient, suspends *clock.SuspendDetector, logger log.Logger) (*Host, error) {
 	h := &Host{
 		site: host, seeds: host.Seeds, name: host.PeerName(host.Control), endpoint: endpoint, newClient: newClient, suspends: suspends, logger: logger,
-		feed: newFeed(), understandPacked: map[string]bool{host.PeerName(host.Control): true}, joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
+		feed: newFeed(), packsConfigs: map[string]bool{host.PeerName(host.Control): true}, joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
 		zones: map[string]string{host.PeerName(host.Control): host.Zone}, entryHosts: make(map[string]time.Time), loads: make(map[string]*keyed.Loads), serviceTimes: keyed.NewServiceTimes(),
 	}
 	if err := h.open(now); err != nil {
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -32,8 +32,7 @@
 	return EncodedUpdate{Packed: packed}, err
 }
 
-// Decode returns the update; the error is that of damaged data.
-func (e EncodedUpdate) Decode() (update realm.Update, err error) {
+func (e EncodedUpdate) decode() (update realm.Update, err error) {
 	data := []byte(e.Plain)
 	if len(e.Packed) > 0 {
 		if data, err = pack.Unpack(e.Packed, maxUpdateBytes); err != nil {
@@ -111,6 +110,17 @@
 	return update, err
 }
 
+// wholeSince returns the update from an index for a follower that does not read differences of configurations.
+func (f *feed) wholeSince(index uint64) realm.Update {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	update := f.published.Since(index)
+	if update.ConfigChange != nil {
+		update.Config, update.ConfigChange = f.published.Config(), nil
+	}
+	return update
+}
+
 // publishUpdates publishes each change of the state, but not more often than once per publishInterval.
 func (h *Host) publishUpdates() error {
 	ctx := h.tomb.Context(context.Background())
--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -36,16 +37,33 @@
 	same, err := f.since(0)
 	is.NoErr(err)
 	is.Equal(&same.Packed[0], &first.Packed[0]) // version 2 is not published yet
-	update, err := first.Decode()
+	update, err := first.decode()
 	is.NoErr(err)
 	is.Equal(update.Config.Version, uint64(1))
 	f.publish(store)
 	f.await(context.Background(), update.Index)
 	next, err := f.since(update.Index)
 	is.NoErr(err)
-	change, err := next.Decode()
+	change, err := next.decode()
 	is.NoErr(err)
 	is.True(change.Config == nil)
 	is.Equal(change.ConfigChange.Version, uint64(2))
 	is.Equal(len(change.ConfigChange.Set), 2)
+	whole := f.wholeSince(update.Index) // for a follower of an earlier release
+	is.True(whole.ConfigChange == nil)
+	is.Equal(whole.Config.Version, uint64(2))
+}
+
+// An update is read in the form of this release and in that of the one before.
+func TestFollowReplyForms(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{`{"in-touch":true,"update":{"index":7}}`, `{"in-touch":true,"encoded":{"plain":{"index":7}}}`} {
+		var reply FollowReply
+		is.NoErr(json.Unmarshal([]byte(text), &reply))
+		update, err := reply.Decode()
+		is.NoErr(err)
+		is.Equal(update.Index, uint64(7))
+	}
+	_, err := FollowReply{}.Decode()
+	is.True(errors.Is(err, errNoUpdate))
 }
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/keyed"
+	"lovagelink.example/lovagelink/internal/realm"
 )
 
 // publishInterval is the least time between two states that followers receive. Each costs a reply to every follower, and
@@ -19,29 +21,51 @@
 
 // FollowRequest asks for the changes of the state since an index of the log.
 type FollowRequest struct {
-	Since uint64 `json:"since"`
+	Since   uint64 `json:"since"`
+	Encoded bool   `json:"encoded,omitempty"` // whether the follower reads encoded updates; those of earlier releases don't
 }
 
 // FollowReply holds the changes; they may be out of date if LeaderReachable is false.
 type FollowReply struct {
-	LeaderReachable bool          `json:"in-touch"`
-	Members         []Member      `json:"members"` // control hosts that accept follow requests
-	Update          EncodedUpdate `json:"encoded"`
+	LeaderReachable bool           `json:"in-touch"`
+	Members         []Member       `json:"members"` // control hosts that accept follow requests
+	Update          *realm.Update  `json:"update,omitempty"`
+	Encoded         *EncodedUpdate `json:"encoded,omitempty"` // in place of Update, if the follower reads it
 }
 
+// Decode returns the update in either form; the error is that of damaged data.
+func (r FollowReply) Decode() (realm.Update, error) {
+	switch {
+	case r.Encoded != nil:
+		return r.Encoded.decode()
+	case r.Update != nil:
+		return *r.Update, nil
+	}
+	return realm.Update{}, errNoUpdate
+}
+
+var errNoUpdate = errors.New("the reply to a follow call holds no update")
+
 func (h *Host) handleFollow(ctx context.Context, _ string, args FollowRequest) (FollowReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	if h.hasLeaderContact(time.Now()) {
 		h.feed.await(ctx, args.Since)
 	}
+	now := time.Now()
+	reply := FollowReply{LeaderReachable: h.hasLeaderContact(now), Members: h.membersWithZones(now)}
+	if !args.Encoded {
+		update := h.feed.wholeSince(args.Since)
+		reply.Update = &update
+		return reply, nil
+	}
 	update, err := h.feed.since(args.Since)
 	if err != nil {
 		return FollowReply{}, err
 	}
 	h.workload.countReply(update)
-	now := time.Now()
-	return FollowReply{LeaderReachable: h.hasLeaderContact(now), Members: h.membersWithZones(now), Update: update}, nil
+	reply.Encoded = &update
+	return reply, nil
 }
 
 // Report holds the counts of an entry host since its last report.
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -65,13 +65,13 @@
 // fetch requests the changes since an index from a control host.
 func (f *Front) fetch(ctx context.Context, source string, since uint64) (r received, err error) {
 	start, bytesBefore := time.Now(), f.endpoint.Received(source)
-	r.reply, err = peer.CallWhileReceiving[core.FollowReply](ctx, f.endpoint, source, "follow", core.FollowRequest{Since: since}, followTimeout)
+	r.reply, err = peer.CallWhileReceiving[core.FollowReply](ctx, f.endpoint, source, "follow", core.FollowRequest{Since: since, Encoded: true}, followTimeout)
 	r.bytes, r.took = f.endpoint.Received(source)-bytesBefore, time.Since(start)
 	f.stats.UpdateBytes.Add(r.bytes)
 	if err != nil {
 		return r, err
 	}
-	r.update, err = r.reply.Update.Decode()
+	r.update, err = r.reply.Decode()
 	return r, err
 }
 
--- a/internal/realm/frozen.go
+++ b/internal/realm/frozen.go
@@ -21,6 +21,9 @@
 // Index returns the log index of the state.
 func (f *Frozen) Index() uint64 { return f.state.Index }
 
+// Config returns the configuration in force, which must not be changed, or nil if there is none.
+func (f *Frozen) Config() *route.Config { return f.state.Config }
+
 // Since returns the parts of the state that have changed after a log index.
 func (f *Frozen) Since(index uint64) Update {
 	update := Update{Index: f.state.Index, Ranges: make(map[string]Ranges)}
