--- a/internal/front/faulty_test.go
+++ b/internal/front/faulty_test.go
@@ -248,3 +248,34 @@
 		return <-largest
 	}
 }
+
+// A body of unknown length that is too large to hold reaches the caller whole. A caller of HTTP/1.0, which could not tell
+// that it breaks off, gets it with its length, up to a limit.
+func TestLargeBodyOfUnknownLength(t *testing.T) {
+	is := is.New(t)
+	u := newFaultyUpstream(t, func(_ *faultyUpstream, conn net.Conn, id string, _ bool) {
+		size := 1 << 20
+		if id == "huge" {
+			size = maxUnframedBody + 1<<20
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: "+id+"\r\n\r\n"+strings.Repeat("x", size))
+		_ = conn.Close()
+	})
+	url := startFront(t, u)
+	status, body := ask(t, &http.Client{}, url+"/often/x", "large")
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(body), 1<<20)
+	for id, want := range map[string]int{"large": http.StatusOK, "huge": http.StatusBadGateway} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		is.NoErr(err)
+		_, err = io.WriteString(conn, "GET /often/x HTTP/1.0\r\nHost: a.example\r\nId: "+id+"\r\n\r\n")
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, want)
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.True(want != http.StatusOK || len(text) == 1<<20 && response.ContentLength == 1<<20)
+		is.NoErr(conn.Close())
+	}
+}
