--- a/internal/core/workload.go
+++ b/internal/core/workload.go
@@ -31,7 +31,8 @@
 		pause.For(ctx, workloadInterval)
 		w, commitBefore := &h.workload, commit
 		commit = h.Status(time.Now()).Commit
-		_ = h.logger.Log("event", "workload", "entries", commit-commitBefore, "replies", w.replies.Swap(0), "reply-bytes", w.replyBytes.Swap(0),
+		entries := max(commit, commitBefore) - commitBefore // a replica that was opened again may have fewer
+		_ = h.logger.Log("event", "workload", "entries", entries, "replies", w.replies.Swap(0), "reply-bytes", w.replyBytes.Swap(0),
 			"log-calls", w.logCalls.Swap(0), "log-timeouts", w.logTimeouts.Swap(0), "log-bytes", w.logBytes.Swap(0))
 	}
 	return nil
