Take the locks of the test network in one order

A run of the whole script stopped in a scene of internal/fleet, in a synctest bubble with 137 goroutines that waited for a mutex. A write to a stream of memnet took the stream's lock and then, in transmit, the network's, to find when its bytes have passed the link; Partition takes the network's lock and then those of the streams. Only tests use memnet.

The arrival of a write's bytes is now computed before the stream is locked.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -59,6 +59,8 @@
 func (s *stream) write(data []byte) (int, error) {
 	delay := s.net.delay(s.from, s.to)
 	s.net.countSent(s.from.Name, len(data))
+	// Before the stream is locked, since Partition locks the network first and then its streams.
+	chunks := s.split(time.Now(), data, delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -69,14 +71,19 @@
 	case s.isBlackholed:
 		return len(data), nil
 	}
-	now := time.Now()
-	for part := range slices.Chunk(slices.Clone(data), maxChunk) {
-		s.chunks = append(s.chunks, chunk{data: part, due: s.net.transmit(now, s.to, len(part)).Add(delay)})
-	}
+	s.chunks = append(s.chunks, chunks...)
 	s.wakeLocked()
 	return len(data), nil
 }
 
+// split returns the chunks of a write, with the times at which they arrive.
+func (s *stream) split(now time.Time, data []byte, delay time.Duration) (chunks []chunk) {
+	for part := range slices.Chunk(slices.Clone(data), maxChunk) {
+		chunks = append(chunks, chunk{data: part, due: s.net.transmit(now, s.to, len(part)).Add(delay)})
+	}
+	return chunks
+}
+
 // read blocks until bytes have arrived, the stream has ended or the read deadline has passed.
 func (s *stream) read(buf []byte) (int, error) {
 	for {
