Apply updates at an entry host in proportion to what has changed, and use a few upstreams for work without keys

Cause: an update of a deployment with 990 upstreams took an entry host 1.0 ms, since it copied the map of all upstreams and the list of all key ranges, and an entry host of the large deployment receives up to 20 updates a second. A request for a service without keys looked at all upstreams (423 us with the stand-ins, 154 us for one with a key).

Ruled out: the decoding of updates (a tenth of it), and the request path itself, which is system calls for the most part.

Connections have no keep-alive options.

BenchmarkApplyUpdate 1,013 -> 51 us; BenchmarkForward/plain 423 -> 139 us (busy machine).

--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -96,7 +96,7 @@
 	case next.Index <= old.Index:
 		return old.Index
 	}
-	f.setView(next)
+	f.setView(next, old, r.update.Upstreams)
 	if next.Table != nil && next.Table != old.Table {
 		_ = f.logger.Log("event", "config-in-force", "version", next.Table.Config.Version, "index", next.Index, "source", source,
 			"received", r.bytes, "took", r.took, "applied-in", time.Since(start))
@@ -117,18 +117,37 @@
 	return f.sources.names()
 }
 
-// setView makes a view the current one, and closes the connections to instances that have ended.
-func (f *Front) setView(next *View) {
+// setView makes a view the current one, and closes the connections to those of the changed upstreams that have ended.
+func (f *Front) setView(next, old *View, changed []realm.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view.Store(next)
 	close(f.changed)
 	f.changed = make(chan struct{})
-	for instance, u := range f.upstreams {
-		state, ok := next.Upstreams[instance.ID]
-		if !ok || state.Instance != instance || state.Ended {
-			u.close()
-			delete(f.upstreams, instance)
+	for _, u := range changed {
+		if former := old.Upstream(u.ID); former != nil && !next.has(former.Instance) {
+			f.forget(former.Instance)
+		}
+	}
+}
+
+// forget closes the connections to an instance of an upstream that has ended. The caller holds f.mu.
+func (f *Front) forget(instance realm.Instance) {
+	if u := f.upstreams[instance]; u != nil {
+		u.close()
+		delete(f.upstreams, instance)
+	}
+}
+
+// forgetEnded closes the connections to all instances that have ended. Requests that were routed by an earlier view may
+// have opened some since the instance ended.
+func (f *Front) forgetEnded() {
+	view := f.view.Load()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for instance := range f.upstreams {
+		if !view.has(instance) {
+			f.forget(instance)
 		}
 	}
 }
@@ -158,6 +177,7 @@
 	leader := ""
 	for round := 0; f.tomb.Alive(); round++ {
 		pause.For(ctx, reportInterval)
+		f.forgetEnded()
 		f.mu.Lock()
 		counts := f.keyCounts
 		f.keyCounts = make(map[string]map[int]int)
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"lovagelink.example/lovagelink/internal/admit"
 	"lovagelink.example/lovagelink/internal/route"
 )
 
@@ -142,21 +141,11 @@
 // chooseAny returns the upstream with the lowest estimated latency. It prefers upstreams that the request has not been
 // sent to over those that it has, and among each of these the ready upstreams over the lost ones.
 func (f *Front) chooseAny(now time.Time, c *call) (*upstream, *outcome) {
-	ready, lost := f.view.Load().Usable(c.service.Name)
-	left := c.exchange.Arrived.Add(c.route.LatencyTarget).Sub(now)
+	pool := f.poolOf(f.view.Load(), c.service.Name)
 	for _, wasTried := range []bool{false, true} {
-		for _, group := range [][]UpstreamState{ready, lost} {
-			var candidates []admit.Candidate
-			var upstreams []*upstream
-			for _, state := range group {
-				u := f.upstreamFor(state.Upstream)
-				if c.tried[state.ID] == wasTried && u.backoff(now) == 0 {
-					candidates = append(candidates, admit.Candidate{IsNear: state.Zone == f.site.Zone, Cost: u.cost(now)})
-					upstreams = append(upstreams, u)
-				}
-			}
-			if best, ok := admit.Choose(candidates, left); ok {
-				return upstreams[best], nil
+		for _, group := range [][]*upstream{pool.ready, pool.lost} {
+			if u := f.best(now, c, group, wasTried); u != nil {
+				return u, nil
 			}
 		}
 	}
@@ -170,8 +159,8 @@
 		state, token, ok := view.Owner(now, c.service.Name, c.info.Key)
 		return ok && state.Instance == u.registration.Instance && u.missingKeysBackoff(now, token) == 0
 	}
-	state, ok := view.Upstreams[u.registration.ID]
-	return ok && state.Instance == u.registration.Instance && !state.IsLeaving()
+	state := view.Upstream(u.registration.ID)
+	return state != nil && state.Instance == u.registration.Instance && !state.IsLeaving()
 }
 
 // refuse returns the failure for a request that can't be sent: 503 with a Retry-After. A non-idempotent request that an
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -42,6 +42,7 @@
 	mu        sync.Mutex
 	changed   chan struct{} // is closed and replaced when the view changes
 	upstreams map[realm.Instance]*upstream
+	pools     map[string]*pool // by service
 	splits    map[string]*route.Split
 	budgets   map[string]*admit.RetryBudget
 	keyCounts map[string]map[int]int // requests by service and key bucket since the last report
@@ -57,6 +58,7 @@
 	f := &Front{
 		site: host, endpoint: endpoint, codec: codec, logger: logger,
 		changed: make(chan struct{}), upstreams: make(map[realm.Instance]*upstream),
+		pools: make(map[string]*pool),
 		splits: make(map[string]*route.Split), budgets: make(map[string]*admit.RetryBudget),
 		keyCounts: make(map[string]map[int]int), hostCount: initialHostCount,
 	}
@@ -70,11 +72,13 @@
 
 // Start listens for callers and begins to follow the control hosts.
 func (f *Front) Start() error {
-	callers, err := net.Listen("tcp", f.site.Callers.String())
+	// Deadlines find dead connections of callers, and each keep-alive option would cost a system call per connection.
+	listenConfig := net.ListenConfig{KeepAlive: -1}
+	callers, err := listenConfig.Listen(context.Background(), "tcp", f.site.Callers.String())
 	if err != nil {
 		return err
 	}
-	ready, err := net.Listen("tcp", f.site.ReadinessAddress.String())
+	ready, err := listenConfig.Listen(context.Background(), "tcp", f.site.ReadinessAddress.String())
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
--- a/internal/front/overview.go
+++ b/internal/front/overview.go
@@ -15,14 +15,22 @@
 		status.ConfigVersion = view.Table.Config.Version
 	}
 	var upstreams []realm.Upstream
-	for _, state := range view.Upstreams {
+	for state := range view.upstreams.all() {
 		upstreams = append(upstreams, state.Upstream)
 	}
-	status.Describe(upstreams, view.Ranges)
+	ranges := make(map[string]realm.Ranges, len(view.Ranges))
+	for service, parts := range view.Ranges {
+		ranges[service] = parts.Ranges()
+	}
+	status.Describe(upstreams, ranges)
 	for i := range status.Upstreams {
 		row := &status.Upstreams[i]
+		state := view.Upstream(row.ID)
+		if state == nil {
+			continue
+		}
 		f.mu.Lock()
-		u := f.upstreams[view.Upstreams[row.ID].Instance]
+		u := f.upstreams[state.Instance]
 		f.mu.Unlock()
 		if u != nil {
 			row.InFlight, row.Waiting = u.busy()
--- a/internal/front/stats.go
+++ b/internal/front/stats.go
@@ -45,7 +45,7 @@
 		}
 		return int64(v.Table.Config.Version)
 	})
-	gauge("upstreams", "upstreams that this host knows", func(v *View) int64 { return int64(len(v.Upstreams)) })
+	gauge("upstreams", "upstreams that this host knows", func(v *View) int64 { return int64(v.upstreams.size()) })
 	return counts, gauges
 }
 
--- a/internal/front/view.go
+++ b/internal/front/view.go
@@ -14,8 +14,9 @@
 type View struct {
 	Index     uint64
 	Table     *route.Table // nil until a configuration is received
-	Upstreams map[string]UpstreamState
-	Ranges    map[string]realm.Ranges // by service
+	Ranges    map[string]*realm.RangeMap // by service
+
+	upstreams  *directory
 
 	indexTimes []indexTime // the latest log indexes and when this host reached them, oldest first
 }
@@ -52,29 +53,18 @@
 	if err != nil {
 		return v, err
 	}
-	next := &View{Index: update.Index, Table: v.Table, Upstreams: v.Upstreams, Ranges: v.Ranges}
+	next := &View{Index: update.Index, Table: v.Table, Ranges: v.Ranges, upstreams: v.upstreams.with(now, update.Upstreams)}
 	next.indexTimes = append(slices.Clone(v.indexTimes[max(0, len(v.indexTimes)-maxIndexTimes+1):]), indexTime{update.Index, now})
 	if config != nil {
 		next.Table = route.NewTable(config)
 	}
-	if len(update.Upstreams) > 0 {
-		next.Upstreams = make(map[string]UpstreamState, len(v.Upstreams)+len(update.Upstreams))
-		for id, state := range v.Upstreams {
-			if state.Phase != realm.Gone || now.Sub(state.PhaseSeenAt) < drainingGrace {
-				next.Upstreams[id] = state
-			}
-		}
-		for _, u := range update.Upstreams {
-			next.Upstreams[u.ID] = UpstreamState{Upstream: u, PhaseSeenAt: now}
-		}
-	}
 	if len(update.Ranges) > 0 {
-		next.Ranges = make(map[string]realm.Ranges, len(v.Ranges)+len(update.Ranges))
+		next.Ranges = make(map[string]*realm.RangeMap, len(v.Ranges)+len(update.Ranges))
 		for service, ranges := range v.Ranges {
 			next.Ranges[service] = ranges
 		}
 		for service, changed := range update.Ranges {
-			next.Ranges[service] = next.Ranges[service].PutAll(changed)
+			next.Ranges[service] = next.Ranges[service].With(changed)
 		}
 	}
 	return next, nil
@@ -104,14 +94,14 @@
 
 // Owner returns the upstream that owns a key and the fencing token of its grant. It returns false if no upstream serves
 // the key at present.
-func (v *View) Owner(now time.Time, service string, key uint16) (UpstreamState, uint64, bool) {
+func (v *View) Owner(now time.Time, service string, key uint16) (*UpstreamState, uint64, bool) {
 	r := v.Ranges[service].At(key)
 	if r == nil || !r.Active {
-		return UpstreamState{}, 0, false
+		return nil, 0, false
 	}
-	u, ok := v.Upstreams[r.Owner.ID]
-	if !ok || u.Instance != r.Owner || u.Ended {
-		return UpstreamState{}, 0, false
+	u := v.upstreams.find(r.Owner.ID)
+	if u == nil || u.Instance != r.Owner || u.Ended {
+		return nil, 0, false
 	}
 	return u, r.FencingToken, !u.IsLeaving() || now.Sub(u.PhaseSeenAt) < drainingGrace
 }
@@ -125,9 +115,9 @@
 	case !r.Active:
 		return now.Sub(v.reachedAt(r.Changed))
 	}
-	u, ok := v.Upstreams[r.Owner.ID]
+	u := v.upstreams.find(r.Owner.ID)
 	switch {
-	case !ok:
+	case u == nil:
 		return now.Sub(v.reachedAt(r.Changed))
 	case u.IsLeaving() && !u.Ended:
 		return now.Sub(u.PhaseSeenAt) - drainingGrace
@@ -151,15 +141,13 @@
 
 // Usable returns the upstreams of a service that accept new requests: the ready ones, and the lost ones, which the
 // control hosts have not heard from for a while but which this host may still reach.
-func (v *View) Usable(service string) (ready, lost []UpstreamState) {
-	for _, u := range v.Upstreams {
-		switch {
-		case u.Service != service:
-		case u.Phase == realm.Ready:
-			ready = append(ready, u)
-		case u.Phase == realm.Lost:
-			lost = append(lost, u)
-		}
-	}
-	return ready, lost
+func (v *View) Usable(service string) (ready, lost []*UpstreamState) { return v.upstreams.usableOf(service) }
+
+// Upstream returns the upstream with an id, or nil if this host does not know it.
+func (v *View) Upstream(id string) *UpstreamState { return v.upstreams.find(id) }
+
+// has reports whether an instance of an upstream is the registered one, and its process has not ended.
+func (v *View) has(instance realm.Instance) bool {
+	state := v.upstreams.find(instance.ID)
+	return state != nil && state.Instance == instance && !state.Ended
 }
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -61,7 +61,8 @@
 
 // Dial connects to an upstream.
 func Dial(ctx context.Context, now time.Time, address netip.AddrPort) (*ClientConn, error) {
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+	// Deadlines and TCP_USER_TIMEOUT find dead connections, and each keep-alive option would cost a system call.
+	dialer := net.Dialer{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
 		err := raw.Control(func(fd uintptr) {
 			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
