--- a/internal/core/activation.go
+++ b/internal/core/activation.go
@@ -4,12 +4,14 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
+	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/realm"
 )
 
-// activations collects the keys whose owners have acknowledged a grant, until the log records that. All that have been
-// acknowledged while one entry was on its way go into the next: at the start of a deployment and after the loss of a
+// activations collects the keys whose owners have acknowledged a grant, until the log records that. Those that are
+// acknowledged soon after one another go into one entry: at the start of a deployment and after the loss of a
 // zone hundreds of owners acknowledge within a second, and each entry costs every control host and every entry host.
 type activations struct {
 	mu      sync.Mutex
@@ -43,16 +45,22 @@
 	return taken
 }
 
+// activationInterval is the least time between two entries with activations. Followers receive the state as often.
+const activationInterval = publishInterval
+
 // proposeActivations proposes the collected changes whenever there are some. If the outcome of a proposal is unknown,
 // the keys become active with the next grant, which is due at once while they are inactive.
 func (k *keyManager) proposeActivations() error {
 	ctx := k.tomb.Context(context.Background())
+	var proposedAt time.Time
 	for {
 		select {
 		case <-k.activations.wake:
 		case <-ctx.Done():
 			return nil
 		}
+		pause.For(ctx, time.Until(proposedAt.Add(activationInterval)))
+		proposedAt = time.Now()
 		changes := k.activations.take()
 		if err := k.host.propose(ctx, k.ballot, realm.Command{SetActive: changes}); err != nil {
 			_ = k.host.logger.Log("event", "keys-taken", "ranges", len(changes), "outcome", "unknown", "reason", err)
