Let control hosts without a vote mirror the state and serve it, and spread the votes over the zones

Cause: of the 15 control hosts of the large deployment five were members of the log, and the other ten answered every call with 503: a tenth of the upstreams' calls failed, two hosts served most of the 285 entry hosts, and each entry host reported to the leader. Three of the five members were in one availability zone, since the seeds were: the loss of that zone would have stopped the log.

Weighed against fifteen members (each entry sent to fourteen hosts by one leader on half a core, a quorum of eight) and against replicas without a vote that the leader feeds (the same sending): a host without a vote follows a member with the call that entry hosts use, and its state has the log's indexes, so that entry hosts can change between both. It accepts only a source whose replica is in contact with the leader itself, so that two mirrors can't confirm each other.

Change: mirrors; announcements to the leader, which lists all control hosts; a candidate of a zone with two members fewer takes the place of one there, added before the other is removed; reports of entry hosts go to the host that they follow and on to the leader with the heartbeats; the list of control hosts is sent when it has changed. A host that leaves is looked up by the leader.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,7 @@
 	tomb      tomb.Tomb
 	workload  workload
 	feed      *feed
+	mirror    *mirror
 
 	mu           sync.Mutex
 	seeds        []netip.AddrPort
@@ -50,6 +51,9 @@
 	zones        map[string]string    // availability zone by name of the control host
 	packsConfigs map[string]bool      // whether a control host understands compressed configurations, by name
 	entryHosts   map[string]time.Time // time of the last report, by name of the entry host
+	announced    map[string]time.Time // time of the last announcement, by name of the control host
+	hostList     hostList
+	reports      Report // of entry hosts, to be forwarded to the leader
 	loads        map[string]*keyed.Loads
 	serviceTimes *keyed.ServiceTimes
 
@@ -61,7 +65,7 @@
 func New(now time.Time, host site.Host, endpoint *peer.Endpoint, newClient func() UpstreamClient, suspends *clock.SuspendDetector, logger log.Logger) (*Host, error) {
 	h := &Host{
 		site: host, seeds: host.Seeds, name: host.PeerName(host.Control), endpoint: endpoint, newClient: newClient, suspends: suspends, logger: logger,
-		feed: newFeed(), packsConfigs: map[string]bool{host.PeerName(host.Control): true}, joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
+		feed: newFeed(), mirror: newMirror(), announced: make(map[string]time.Time), packsConfigs: map[string]bool{host.PeerName(host.Control): true}, joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
 		zones: map[string]string{host.PeerName(host.Control): host.Zone}, entryHosts: make(map[string]time.Time), loads: make(map[string]*keyed.Loads), serviceTimes: keyed.NewServiceTimes(),
 	}
 	if err := h.open(now); err != nil {
@@ -74,6 +78,8 @@
 	peer.HandleTyped(endpoint, "hello", h.handleJoinRequest)
 	peer.HandleTyped(endpoint, "zone", h.handleZone)
 	peer.HandleTyped(endpoint, "understands-packed", h.handleUnderstandsPacked)
+	peer.HandleTyped(endpoint, "announce", h.handleAnnouncement)
+	peer.HandleTyped(endpoint, "leave", h.handleLeave)
 	peer.HandleTyped(endpoint, "follow", h.handleFollow)
 	peer.HandleTyped(endpoint, "report", h.handleReport)
 	return h, nil
@@ -89,6 +95,8 @@
 	h.tomb.Go(h.runLeader)
 	h.tomb.Go(h.logWorkload)
 	h.tomb.Go(h.publishUpdates)
+	h.tomb.Go(h.mirrorState)
+	h.tomb.Go(h.announce)
 }
 
 // Stop ends all tasks and closes the replica.
@@ -116,8 +124,18 @@
 // lease and a few heartbeats.
 const leaderContactTimeout = time.Second
 
-// hasLeaderContact reports whether the state of this host is recent: it leads, or the leader contacted it lately.
+// hasLeaderContact reports whether the state of this host is recent: its replica is in contact with the leader, or it
+// mirrors the state of a host that is.
 func (h *Host) hasLeaderContact(now time.Time) bool {
+	if h.replicaHasContact(now) {
+		return true
+	}
+	_, ok := h.mirror.contact(now)
+	return ok
+}
+
+// replicaHasContact reports whether the replica of this host leads, or the leader contacted it lately.
+func (h *Host) replicaHasContact(now time.Time) bool {
 	status, leads := h.leads(now)
 	return leads || status.Leader != "" && status.Leader != h.name && now.Sub(status.LastContact) < leaderContactTimeout && status.Commit > 0
 }
@@ -127,7 +145,13 @@
 	return h.currentReplica().replica.Status(now)
 }
 
-// Read calls read with the current state, which read must neither keep nor change.
+// Read calls read with the state of the replica, which read must neither keep nor change. What a leader decides is based
+// on that state.
 func (h *Host) Read(read func(*realm.State)) {
 	h.currentReplica().store.Read(read)
 }
+
+// readNewest calls read with the newest state that this host has, which read must neither keep nor change.
+func (h *Host) readNewest(read func(*realm.State)) {
+	h.newestStore().Read(read)
+}
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"lovagelink.example/lovagelink/internal/pack"
 	"lovagelink.example/lovagelink/internal/pause"
@@ -13,6 +14,8 @@
 const (
 	// minPackBytes is the size from which an update is compressed.
 	minPackBytes = 1 << 10
+	// publishCheckInterval is the time between two checks which store of this host is the newest.
+	publishCheckInterval = 200 * time.Millisecond
 	// maxUpdateBytes is the largest update that a follower accepts.
 	maxUpdateBytes = 64 << 20
 )
@@ -49,7 +52,6 @@
 // are.
 type feed struct {
 	mu        sync.Mutex
-	store     *realm.Store
 	published *realm.Frozen
 	updates   map[uint64]EncodedUpdate // of the published state, by the index that the follower has reached
 	changed   chan struct{}            // closed and replaced when a state is published
@@ -61,13 +63,13 @@
 
 // publish makes the current state of a store available to followers.
 func (f *feed) publish(store *realm.Store) {
+	if store.Index() <= f.index() {
+		return // also that of a replica which was opened again and has yet to catch up
+	}
 	next := store.Freeze()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.store == store && next.Index() <= f.published.Index() {
-		return
-	}
-	f.store, f.published, f.updates = store, next, make(map[uint64]EncodedUpdate)
+	f.published, f.updates = next, make(map[uint64]EncodedUpdate)
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -125,11 +127,10 @@
 func (h *Host) publishUpdates() error {
 	ctx := h.tomb.Context(context.Background())
 	for h.tomb.Alive() {
-		store := h.currentReplica().store
-		awaitCtx, cancel := context.WithTimeout(ctx, followTimeout)
-		store.Await(awaitCtx, h.feed.index())
+		awaitCtx, cancel := context.WithTimeout(ctx, publishCheckInterval)
+		h.newestStore().Await(awaitCtx, h.feed.index())
 		cancel()
-		h.feed.publish(store)
+		h.feed.publish(h.newestStore())
 		pause.For(ctx, publishInterval)
 	}
 	return nil
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -23,12 +23,17 @@
 type FollowRequest struct {
 	Since   uint64 `json:"since"`
 	Encoded bool   `json:"encoded,omitempty"` // whether the follower reads encoded updates; those of earlier releases don't
+	Hosts   uint64 `json:"hosts,omitempty"`   // mark of the list of control hosts that the follower has
+	Mirror  bool   `json:"mirror,omitempty"`  // the follower is a control host without a vote, which serves the state to others
 }
 
 // FollowReply holds the changes; they may be out of date if LeaderReachable is false.
 type FollowReply struct {
 	LeaderReachable bool           `json:"in-touch"`
-	Members         []Member       `json:"members"` // control hosts that accept follow requests
+	IsReplica       bool           `json:"replica,omitempty"` // a replica of the responding host is in contact with the leader
+	Leader          string         `json:"leader,omitempty"`  // of the log, as far as the responding host knows
+	Members         []Member       `json:"members,omitempty"` // control hosts that accept follow requests, if the follower has another list
+	Hosts           uint64         `json:"hosts,omitempty"`   // mark of that list
 	Update          *realm.Update  `json:"update,omitempty"`
 	Encoded         *EncodedUpdate `json:"encoded,omitempty"` // in place of Update, if the follower reads it
 }
@@ -47,13 +52,21 @@
 var errNoUpdate = errors.New("the reply to a follow call holds no update")
 
 func (h *Host) handleFollow(ctx context.Context, _ string, args FollowRequest) (FollowReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	wait := followTimeout
+	if args.Mirror {
+		wait = mirrorWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	if h.hasLeaderContact(time.Now()) {
 		h.feed.await(ctx, args.Since)
 	}
 	now := time.Now()
-	reply := FollowReply{LeaderReachable: h.hasLeaderContact(now), Members: h.membersWithZones(now)}
+	reply := FollowReply{LeaderReachable: h.hasLeaderContact(now), IsReplica: h.replicaHasContact(now), Leader: h.leaderName(now)}
+	hosts := h.controlHosts(now)
+	if reply.Hosts = markOf(hosts); reply.Hosts != args.Hosts {
+		reply.Members = hosts
+	}
 	if !args.Encoded {
 		update := h.feed.wholeSince(args.Since)
 		reply.Update = &update
@@ -68,49 +81,6 @@
 	return reply, nil
 }
 
-// Report holds the counts of an entry host since its last report.
-type Report struct {
-	Loads     map[string]map[int]int   `json:"loads"` // number of requests by service and bucket of keys
-	Latencies map[string]time.Duration `json:"took"`  // service time by upstream id; only upstreams without a queue
-}
-
-// ReportReply holds the number of entry hosts, which divide the limits of the deployment among them.
-type ReportReply struct {
-	OK     bool   `json:"ok"`
-	Leader string `json:"leader,omitempty"`
-	Hosts  int    `json:"hosts"` // 0 until the leader has counted for entryHostTTL
-}
-
-func (h *Host) handleReport(_ context.Context, from string, report Report) (ReportReply, error) {
-	now := time.Now()
-	status, leads := h.leads(now)
-	if !leads {
-		return ReportReply{Leader: status.Leader}, nil
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.entryHosts[from] = now
-	if status.Ballot != h.countBallot {
-		h.countBallot, h.countSince = status.Ballot, now
-	}
-	for name, reportedAt := range h.entryHosts {
-		if now.Sub(reportedAt) > entryHostTTL {
-			delete(h.entryHosts, name)
-		}
-	}
-	for service, counts := range report.Loads {
-		h.loadsOf(service).Add(now, counts)
-	}
-	for id, latency := range report.Latencies {
-		h.serviceTimes.Add(id, latency)
-	}
-	reply := ReportReply{OK: true}
-	if now.Sub(h.countSince) > entryHostTTL {
-		reply.Hosts = len(h.entryHosts)
-	}
-	return reply, nil
-}
-
 // loadsOf returns the load counts of a service; the caller holds h.mu.
 func (h *Host) loadsOf(service string) *keyed.Loads {
 	loads := h.loads[service]
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -6,6 +6,7 @@
 
 	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/realm"
+	"lovagelink.example/lovagelink/pkg/paxos"
 )
 
 // Heartbeats that a host has received are forwarded to the leader in batches.
@@ -62,7 +63,7 @@
 		return nil
 	}
 	var registered *realm.Upstream
-	h.Read(func(s *realm.State) {
+	h.readNewest(func(s *realm.State) {
 		if u := s.Upstreams[upstream.ID]; u != nil {
 			copied := *u
 			registered = &copied
@@ -88,7 +89,7 @@
 // configuration has its service, or there is no configuration yet. A heartbeat for any other service may come from
 // anybody, and must not replace the upstream that is registered at the same address.
 func (h *Host) mayRegister(upstream realm.Upstream) (may bool) {
-	h.Read(func(s *realm.State) {
+	h.readNewest(func(s *realm.State) {
 		may = s.Upstreams[upstream.ID] != nil || s.Config == nil || s.Config.ServiceNamed(upstream.Service) != nil
 	})
 	return may
@@ -99,25 +100,47 @@
 	if !h.hasLeaderContact(now) {
 		return ErrUnavailable
 	}
-	instance, isPresent := realm.Instance{ID: id}, false
+	_, err := askLeader(ctx, h, "leave", leaveRequest{ID: id}, func(r proposeReply) (bool, string) { return r.OK, r.Leader })
+	return err
+}
+
+// leaveRequest asks the leader to record that an upstream has gone. The leader looks it up, since another host may not
+// have learned yet that it has joined.
+type leaveRequest struct {
+	ID string `json:"id"`
+}
+
+func (h *Host) handleLeave(ctx context.Context, _ string, request leaveRequest) (proposeReply, error) {
+	now := time.Now()
+	status, leads := h.leads(now)
+	if !leads {
+		return proposeReply{Leader: status.Leader}, nil
+	}
+	instance, isPresent := realm.Instance{ID: request.ID}, false
 	h.Read(func(s *realm.State) {
-		if u := s.Upstreams[id]; u != nil {
+		if u := s.Upstreams[request.ID]; u != nil {
 			instance, isPresent = u.Instance, u.Phase != realm.Gone
 		}
 	})
 	if !isPresent {
-		return nil
+		return proposeReply{OK: true}, nil
 	}
-	return h.proposeViaLeader(ctx, realm.Command{SetPhase: []realm.PhaseChange{{Instance: instance, Phase: realm.Gone}}})
+	return proposeReply{OK: true}, h.propose(ctx, paxos.Ballot{}, realm.Command{SetPhase: []realm.PhaseChange{{Instance: instance, Phase: realm.Gone}}})
 }
 
-// heartbeatReport lists the instances whose heartbeats a host has received since its last report to the leader.
+// heartbeatReport lists the instances whose heartbeats a host has received since its last report to the leader, and what
+// entry hosts have reported to it.
 type heartbeatReport struct {
 	Instances []realm.Instance `json:"lives"`
+	Report
 }
 
 func (h *Host) handleHeartbeats(_ context.Context, _ string, args heartbeatReport) (bool, error) {
-	h.recordHeartbeats(time.Now(), args.Instances...)
+	now := time.Now()
+	h.recordHeartbeats(now, args.Instances...)
+	if len(args.EntryHosts) > 0 {
+		h.takeReport(now, args.Report)
+	}
 	return true, nil
 }
 
@@ -135,18 +158,28 @@
 	ctx := h.tomb.Context(context.Background())
 	for h.tomb.Alive() {
 		pause.For(ctx, forwardInterval)
-		leader := h.Status(time.Now()).Leader
+		leader := h.leaderName(time.Now())
+		if leader == "" {
+			continue
+		}
 		h.mu.Lock()
 		var instances []realm.Instance
 		for instance := range h.heartbeats.unreported {
 			instances = append(instances, instance)
 		}
+		reports := h.reports
+		h.reports = Report{}
 		h.mu.Unlock()
-		if leader == "" || len(instances) == 0 {
+		if len(instances) == 0 && len(reports.EntryHosts) == 0 {
 			continue
 		}
-		if leader != h.name {
-			if _, err := callWithTimeout[bool](ctx, h, leader, "heard", heartbeatReport{Instances: instances}); err != nil {
+		if leader == h.name {
+			h.takeReport(time.Now(), reports)
+		} else {
+			if _, err := callWithTimeout[bool](ctx, h, leader, "heard", heartbeatReport{Instances: instances, Report: reports}); err != nil {
+				h.mu.Lock()
+				h.reports.add(reports)
+				h.mu.Unlock()
 				continue // reported again in the next round
 			}
 		}
--- a/internal/core/join.go
+++ b/internal/core/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/pause"
@@ -20,6 +19,7 @@
 // joinRequest announces a host that runs a replica and is not a member.
 type joinRequest struct {
 	Name string `json:"name"`
+	Zone string `json:"zone,omitempty"`
 }
 
 // joinReply names the leader and the members that the replying host knows.
@@ -32,25 +32,11 @@
 	now := time.Now()
 	h.mu.Lock()
 	h.joinRequests[args.Name] = now
-	h.mu.Unlock()
-	return joinReply{Leader: h.Status(now).Leader, Members: h.memberNames(now)}, nil
-}
-
-// joinCandidates returns the names of the hosts whose join requests have not expired, and drops the expired ones.
-func (h *Host) joinCandidates() []string {
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var names []string
-	for name, requestedAt := range h.joinRequests {
-		if now.Sub(requestedAt) > joinRequestTTL {
-			delete(h.joinRequests, name)
-			continue
-		}
-		names = append(names, name)
+	if args.Zone != "" {
+		h.zones[args.Name] = args.Zone
 	}
-	slices.Sort(names)
-	return names
+	h.mu.Unlock()
+	return joinReply{Leader: h.leaderName(now), Members: h.memberNames(now)}, nil
 }
 
 // memberNames returns the names of the members of the log.
@@ -62,24 +48,24 @@
 	return names
 }
 
-// requestMembership sends join requests while this host is not a member or has no contact with the leader.
+// requestMembership sends join requests while this host has no contact with the leader.
 func (h *Host) requestMembership() error {
 	ctx := h.tomb.Context(context.Background())
 	peers := make(map[string]bool)
 	for h.tomb.Alive() {
 		now := time.Now()
-		if !h.isMember(now) || !h.hasLeaderContact(now) {
+		if !h.hasLeaderContact(now) { // a host that mirrors the state asks for a vote when it announces itself
 			for _, name := range h.seedNames() {
 				peers[name] = true
 			}
-			for _, name := range h.memberNames(now) {
-				peers[name] = true
+			for _, member := range h.controlHosts(now) {
+				peers[member.Name] = true
 			}
 			for name := range peers {
 				if name == h.name {
 					continue
 				}
-				reply, err := callWithTimeout[joinReply](ctx, h, name, "hello", joinRequest{Name: h.name})
+				reply, err := callWithTimeout[joinReply](ctx, h, name, "hello", joinRequest{Name: h.name, Zone: h.site.Zone})
 				if err != nil {
 					continue // asked again in the next round
 				}
@@ -105,10 +91,6 @@
 	return names
 }
 
-func (h *Host) isMember(now time.Time) bool {
-	return slices.Contains(h.memberNames(now), h.name)
-}
-
 func callWithTimeout[R any](ctx context.Context, h *Host, host, method string, args any) (R, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/core/metrics.go
+++ b/internal/core/metrics.go
@@ -28,7 +28,7 @@
 	gauge("members", "replicas of the log", func(now time.Time) int64 { return int64(len(h.Status(now).Members)) })
 	state := func(name, help string, read func(*realm.State) int) {
 		gauge(name, help, func(time.Time) (value int64) {
-			h.Read(func(s *realm.State) { value = int64(read(s)) })
+			h.readNewest(func(s *realm.State) { value = int64(read(s)) })
 			return value
 		})
 	}
--- a/internal/core/overview.go
+++ b/internal/core/overview.go
@@ -12,12 +12,12 @@
 	replica := h.currentReplica().replica
 	status := oper.Status{
 		Host: h.site.Name, Role: "control", Zone: h.site.Zone, Name: h.name,
-		Leader: replica.Status(now).Leader, LeaderReachable: h.hasLeaderContact(now), ReplicaStates: make(map[string]string),
+		Leader: h.leaderName(now), LeaderReachable: h.hasLeaderContact(now), ReplicaStates: make(map[string]string),
 	}
 	for name, state := range replica.ReplicaStates(now) {
 		status.ReplicaStates[name] = state.String()
 	}
-	h.Read(func(s *realm.State) {
+	h.readNewest(func(s *realm.State) {
 		status.AppliedIndex, status.ConfigVersion = s.Index, s.Version()
 		var upstreams []realm.Upstream
 		for _, u := range s.Sorted() {
--- a/internal/core/propose.go
+++ b/internal/core/propose.go
@@ -26,18 +26,11 @@
 // AcceptConfig puts a configuration in force. It returns nil once a majority holds this or a higher version on disk.
 func (h *Host) AcceptConfig(ctx context.Context, _ time.Time, config route.Config, body []byte) error {
 	version := uint64(0)
-	h.Read(func(s *realm.State) { version = s.Version() })
+	h.readNewest(func(s *realm.State) { version = s.Version() })
 	if version >= config.Version {
 		return nil
 	}
-	command := realm.Command{AcceptConfig: &realm.AcceptConfig{Config: config, Body: body}}
-	if h.allUnderstandPacked(time.Now()) {
-		var err error
-		if command, err = realm.NewAcceptPacked(command.AcceptConfig); err != nil {
-			return err
-		}
-	}
-	return h.proposeViaLeader(ctx, command)
+	return h.proposeViaLeader(ctx, realm.Command{AcceptConfig: &realm.AcceptConfig{Config: config, Body: body}})
 }
 
 // proposeViaLeader proposes a command through the leader. After an error the command may or may not be in the log.
@@ -55,6 +48,12 @@
 		// The host that forwards the command has just received a heartbeat of the upstream.
 		h.recordHeartbeats(time.Now(), u.Instance)
 	}
+	if command.AcceptConfig != nil && h.allUnderstandPacked(time.Now()) {
+		var err error
+		if command, err = realm.NewAcceptPacked(command.AcceptConfig); err != nil {
+			return proposeReply{}, err
+		}
+	}
 	return proposeReply{OK: true}, h.propose(ctx, paxos.Ballot{}, command)
 }
 
@@ -88,7 +87,11 @@
 func (h *Host) CurrentConfig(ctx context.Context, _ time.Time) ([]byte, error) {
 	var request configRequest
 	var body []byte
-	h.Read(func(s *realm.State) { request.Version, body = s.Version(), s.Body })
+	h.readNewest(func(s *realm.State) {
+		if body = s.Body; len(body) > 0 { // a mirrored state has no text of the configuration
+			request.Version = s.Version()
+		}
+	})
 	reply, err := askLeader(ctx, h, "current", request, func(r configReply) (bool, string) { return r.OK, r.Leader })
 	switch {
 	case err != nil:
@@ -124,14 +127,14 @@
 	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
 	defer cancel()
 	var zero R
-	target := h.Status(time.Now()).Leader
+	target := h.leaderName(time.Now())
 	for turn := 0; ctx.Err() == nil; turn++ {
 		if target == "" {
-			members := h.memberNames(time.Now())
+			members := h.controlHosts(time.Now())
 			if len(members) == 0 {
 				return zero, ErrUnavailable
 			}
-			target = members[turn%len(members)]
+			target = members[turn%len(members)].Name
 		}
 		reply, err := callWithTimeout[R](ctx, h, target, method, args)
 		if err == nil {
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -53,7 +53,7 @@
 	store := realm.NewStore()
 	config := paxos.Config{
 		Name: h.name, Folder: filepath.Join(h.site.DataFolder, "log"), Timing: timing(),
-		JoinCandidates: h.joinCandidates, MaxMembers: maxMembers, RemoveAfter: removeAfter,
+		NextChange: h.nextVoterChange, MaxMembers: maxMembers, RemoveAfter: removeAfter,
 	}
 	if h.site.Bootstrap {
 		for _, seed := range h.site.Seeds {
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -66,12 +66,18 @@
 	if zone == h.site.Zone {
 		return netip.AddrPort{}, false
 	}
-	members := h.membersWithZones(now)
-	i := slices.IndexFunc(members, func(m Member) bool { return m.Zone == zone })
-	if i < 0 {
+	var inZone []string
+	for _, member := range h.controlHosts(now) {
+		if member.Zone == zone {
+			inZone = append(inZone, member.Name)
+		}
+	}
+	if len(inZone) == 0 {
 		return netip.AddrPort{}, false
 	}
-	peer, err := netip.ParseAddrPort(members[i].Name)
+	// Each host names another one of the zone, so that the upstreams of a zone spread over its control hosts.
+	own := slices.IndexFunc(h.controlHosts(now), func(m Member) bool { return m.Name == h.name })
+	peer, err := netip.ParseAddrPort(inZone[max(0, own)%len(inZone)])
 	if err != nil {
 		return netip.AddrPort{}, false
 	}
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/admit"
@@ -20,6 +21,7 @@
 	followRetryInterval = 50 * time.Millisecond
 	reportInterval      = time.Second
 	reportTimeout       = 500 * time.Millisecond
+	maxReportTries      = 3
 	latencyRounds       = 4 // one report in this many includes the upstreams' latencies, which change less than the load
 )
 
@@ -48,7 +50,7 @@
 				isControlLost = true
 			}
 			f.mu.Lock()
-			f.sources.markFailed(time.Now(), source)
+			f.sources.MarkFailed(time.Now(), source)
 			f.mu.Unlock()
 			pause.For(ctx, followRetryInterval)
 			continue
@@ -65,7 +67,8 @@
 // fetch requests the changes since an index from a control host.
 func (f *Front) fetch(ctx context.Context, source string, since uint64) (r received, err error) {
 	start, bytesBefore := time.Now(), f.endpoint.Received(source)
-	r.reply, err = peer.CallWhileReceiving[core.FollowReply](ctx, f.endpoint, source, "follow", core.FollowRequest{Since: since, Encoded: true}, followTimeout)
+	request := core.FollowRequest{Since: since, Encoded: true, Hosts: f.hostsMark}
+	r.reply, err = peer.CallWhileReceiving[core.FollowReply](ctx, f.endpoint, source, "follow", request, followTimeout)
 	r.bytes, r.took = f.endpoint.Received(source)-bytesBefore, time.Since(start)
 	f.stats.UpdateBytes.Add(r.bytes)
 	if err != nil {
@@ -78,11 +81,15 @@
 // applyReply applies a reply and returns the index from which to request the next changes.
 func (f *Front) applyReply(source string, since uint64, r received) uint64 {
 	start := time.Now()
-	f.mu.Lock()
-	for _, member := range r.reply.Members {
-		f.sources.add(member)
+	f.followed.Store(source)
+	if len(r.reply.Members) > 0 {
+		f.hostsMark = r.reply.Hosts
+		f.mu.Lock()
+		for _, member := range r.reply.Members {
+			f.sources.Add(member)
+		}
+		f.mu.Unlock()
 	}
-	f.mu.Unlock()
 	old := f.view.Load()
 	base := old
 	if since == 0 {
@@ -108,13 +115,13 @@
 func (f *Front) pickSource(now time.Time) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.sources.pick(now)
+	return f.sources.Pick(now)
 }
 
 func (f *Front) controlHosts() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.sources.names()
+	return f.sources.Names()
 }
 
 // setView makes a view the current one, and closes the connections to those of the changed upstreams that have ended.
@@ -171,42 +178,52 @@
 	return u
 }
 
-// report sends the request counts and upstream latencies to the leader, which replies with the number of entry hosts.
+// report sends the request counts and upstream latencies to the control host that this host follows, which passes them
+// on to the leader, and replies with the number of entry hosts.
 func (f *Front) report() error {
 	ctx := f.tomb.Context(context.Background())
-	leader := ""
 	for round := 0; f.tomb.Alive(); round++ {
 		pause.For(ctx, reportInterval)
 		f.forgetEnded()
-		f.mu.Lock()
-		counts := f.keyCounts
-		f.keyCounts = make(map[string]map[int]int)
-		latencies := make(map[string]time.Duration)
-		if round%latencyRounds == 0 {
-			for instance, u := range f.upstreams {
-				if latency := u.takeServiceTime(); latency > 0 {
-					latencies[instance.ID] = latency.Round(time.Millisecond)
-				}
+		f.sendReport(ctx, f.takeCounts(round%latencyRounds == 0))
+	}
+	return nil
+}
+
+// takeCounts returns the counts since the last call, and the upstreams' latencies if they are wanted.
+func (f *Front) takeCounts(withLatencies bool) core.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	report := core.Report{Loads: f.keyCounts, Latencies: make(map[string]time.Duration)}
+	f.keyCounts = make(map[string]map[int]int)
+	if withLatencies {
+		for instance, u := range f.upstreams {
+			if latency := u.takeServiceTime(); latency > 0 {
+				report.Latencies[instance.ID] = latency.Round(time.Millisecond)
 			}
 		}
-		f.mu.Unlock()
-		for range 3 {
-			if leader == "" {
-				controls := f.controlHosts()
-				leader = controls[round%len(controls)]
-			}
-			callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-			reply, err := peer.Call[core.ReportReply](callCtx, f.endpoint, leader, "report", core.Report{Loads: counts, Latencies: latencies})
-			cancel()
-			if err == nil && reply.OK {
-				f.setHostCount(reply.Hosts)
-				break
-			}
-			leader = reply.Leader // empty after an error; the counts are lost if no leader is found
-			round++
+	}
+	return report
+}
+
+// sendReport sends a report to the followed control host, or to another one that it names. If none accepts the report,
+// its counts are lost.
+func (f *Front) sendReport(ctx context.Context, report core.Report) {
+	target, _ := f.followed.Load().(string)
+	for range maxReportTries {
+		if target == "" {
+			controls := f.controlHosts()
+			target = controls[rand.IntN(len(controls))]
 		}
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		reply, err := peer.Call[core.ReportReply](callCtx, f.endpoint, target, "report", report)
+		cancel()
+		if err == nil && reply.OK {
+			f.setHostCount(reply.Hosts)
+			return
+		}
+		target = reply.Leader // empty after an error
 	}
-	return nil
 }
 
 // setHostCount divides the retry slack, which is for all entry hosts together, by their number.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,8 +34,10 @@
 	tomb            tomb.Tomb
 	view            atomic.Pointer[View]
 	draining        atomic.Bool
-	leaderReachable atomic.Bool // the followed control host is in contact with the leader
-	refusing        atomic.Bool // new requests are refused, since they would not end before the process does
+	followed        atomic.Value // name of the control host that is followed, a string
+	hostsMark       uint64       // of the list of control hosts that this host has; used by the task that follows only
+	leaderReachable atomic.Bool  // the followed control host is in contact with the leader
+	refusing        atomic.Bool  // new requests are refused, since they would not end before the process does
 	stats           stats
 	meter           atomic.Pointer[meter.Meter]
 
@@ -47,7 +49,7 @@
 	budgets   map[string]*admit.RetryBudget
 	keyCounts map[string]map[int]int // requests by service and key bucket since the last report
 	hostCount int                    // number of entry hosts, which share the retry slack
-	sources   *sources
+	sources   *core.Sources
 }
 
 // initialHostCount is the number of entry hosts that is assumed until the leader reports it.
@@ -65,7 +67,7 @@
 	f.view.Store(&View{})
 	hash := fnv.New32a()
 	hash.Write([]byte(host.Name))
-	f.sources = newSources(host.Zone, int(hash.Sum32()%97), seedNames(host))
+	f.sources = core.NewSources(host.Zone, int(hash.Sum32()%97), seedNames(host))
 	f.server = http1.NewServer(f.serve, f.limits)
 	return f
 }
@@ -151,7 +153,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range seedNames(host) {
-		f.sources.add(core.Member{Name: name})
+		f.sources.Add(core.Member{Name: name})
 	}
 }
 
--- a/internal/front/view.go
+++ b/internal/front/view.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"errors"
 	"slices"
 	"time"
 
@@ -40,16 +39,17 @@
 // IsLeaving reports whether the upstream is draining or gone.
 func (u UpstreamState) IsLeaving() bool { return u.Phase == realm.Draining || u.Phase == realm.Gone }
 
-// errOtherConfig is returned for a change that applies to another configuration than this host's.
-var errOtherConfig = errors.New("the update changes another configuration than the one in force here")
-
 // With returns the view with an update applied. It returns v itself if the update is not newer than v, and
-// errOtherConfig if the whole state is needed.
+// realm.ErrOtherConfig if the whole state is needed.
 func (v *View) With(now time.Time, update realm.Update) (*View, error) {
 	if update.Index <= v.Index {
 		return v, nil
 	}
-	config, err := v.nextConfig(update)
+	var current *route.Config
+	if v.Table != nil {
+		current = v.Table.Config
+	}
+	config, err := update.NextConfig(current)
 	if err != nil {
 		return v, err
 	}
@@ -70,24 +70,6 @@
 	return next, nil
 }
 
-// nextConfig returns the configuration of an update, or nil if the view's own is as new.
-func (v *View) nextConfig(update realm.Update) (*route.Config, error) {
-	config := update.Config
-	var current *route.Config
-	if v.Table != nil {
-		current = v.Table.Config
-	}
-	if update.ConfigChange != nil {
-		if config = update.ConfigChange.Apply(current); config == nil {
-			return nil, errOtherConfig
-		}
-	}
-	if config == nil || current != nil && config.Version <= current.Version {
-		return nil, nil
-	}
-	return config, nil
-}
-
 // drainingGrace is how long requests are still sent to a draining upstream that owns their keys, since the upstream
 // serves until its keys have moved. The platform allows twice this time from the acknowledgement on.
 const drainingGrace = time.Second
--- a/internal/front/view_test.go
+++ b/internal/front/view_test.go
@@ -90,7 +90,7 @@
 	now := time.Unix(1000, 0)
 	v := viewWith(t, &View{}, now, realm.Update{Index: 1, Config: &route.Config{Version: 3}})
 	same, err := v.With(now, realm.Update{Index: 2, ConfigChange: &route.Change{From: 2, Version: 4}})
-	is.True(errors.Is(err, errOtherConfig))
+	is.True(errors.Is(err, realm.ErrOtherConfig))
 	is.Equal(same, v)
 	is.Equal(viewWith(t, v, now, realm.Update{Index: 2, ConfigChange: &route.Change{From: 3, Version: 4}}).Table.Config.Version, uint64(4))
 }
--- a/internal/realm/frozen.go
+++ b/internal/realm/frozen.go
@@ -28,6 +28,7 @@
 func (f *Frozen) Since(index uint64) Update {
 	update := Update{Index: f.state.Index, Ranges: make(map[string]Ranges)}
 	if f.state.Config != nil && f.state.ConfigIndex > index {
+		update.ConfigIndex = f.state.ConfigIndex
 		if past := f.configAt(index); past != nil {
 			update.ConfigChange = route.Diff(past, f.state.Config)
 		} else {
--- a/internal/realm/state.go
+++ b/internal/realm/state.go
@@ -74,7 +74,12 @@
 		return
 	}
 	config := a.Config
-	s.Config, s.Body, s.ConfigIndex = &config, a.Body, s.Index
+	s.setConfig(&config, a.Body)
+}
+
+// setConfig puts a configuration in force; keys of services that are no longer divided by key have no owners.
+func (s *State) setConfig(config *route.Config, body []byte) {
+	s.Config, s.Body, s.ConfigIndex = config, body, s.Index
 	for name := range s.Ownership {
 		if service := config.ServiceNamed(name); service == nil || !service.Keyed {
 			delete(s.Ownership, name)
--- a/internal/realm/store.go
+++ b/internal/realm/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -16,6 +17,7 @@
 	Config *route.Config `json:"config,omitempty"` // the whole configuration
 	// ConfigChange is sent in place of Config to a follower whose configuration is still known here.
 	ConfigChange *route.Change     `json:"config-change,omitempty"`
+	ConfigIndex  uint64            `json:"config-index,omitempty"` // log index at which the configuration was accepted
 	Upstreams    []Upstream        `json:"upstreams,omitempty"`
 	Ranges       map[string]Ranges `json:"ranges,omitempty"` // changed ranges by service, without their handovers
 }
@@ -28,6 +30,24 @@
 	changed chan struct{}
 }
 
+// ErrOtherConfig is returned for an update that changes another configuration than the follower's.
+var ErrOtherConfig = errors.New("the update changes another configuration than the one in force here")
+
+// NextConfig returns the configuration of an update for a follower with the given one, or nil if that is as new. The
+// error is ErrOtherConfig if the follower needs the whole state.
+func (u Update) NextConfig(current *route.Config) (*route.Config, error) {
+	config := u.Config
+	if u.ConfigChange != nil {
+		if config = u.ConfigChange.Apply(current); config == nil {
+			return nil, ErrOtherConfig
+		}
+	}
+	if config == nil || current != nil && config.Version <= current.Version {
+		return nil, nil
+	}
+	return config, nil
+}
+
 // NewStore returns a store with an empty state.
 func NewStore() *Store {
 	return &Store{state: New(), changed: make(chan struct{})}
--- a/pkg/paxos/change.go
+++ b/pkg/paxos/change.go
@@ -15,15 +15,16 @@
 // the loss of one more would stop the log.
 const minMembers = 3
 
-// maintainMembers adds each replica that responds under the name of an initial member, a member or a join candidate
-// with an identity that has no vote: a replica whose disk was lost, one that an earlier leader has removed and not yet
-// added again, or a new replica. It also removes a member that stays unresponsive.
+// maintainMembers adds each replica that responds under the name of an initial member or a member with an identity that
+// has no vote: a replica whose disk was lost, or one that an earlier leader has removed and not yet added again. It also
+// removes a member that stays unresponsive, and makes the changes that Config.NextChange asks for.
 func (r *Replica) maintainMembers(t *tenure) error {
 	for t.tomb.Alive() {
 		for _, name := range r.namesToIdentify(time.Now(), t) {
 			r.replaceMember(t, name)
 		}
 		r.removeUnresponsive(time.Now(), t)
+		r.makeNextChange(t)
 		t.pause(memberCheckHeartbeats * r.timing.Heartbeat)
 	}
 	return nil
@@ -32,33 +33,71 @@
 // namesToIdentify lists the names under which an identity without a vote may respond. A responsive member is left out:
 // its identity lasts as long as its process.
 func (r *Replica) namesToIdentify(now time.Time, t *tenure) []string {
-	var candidates []string
-	if r.config.JoinCandidates != nil {
-		candidates = r.config.JoinCandidates()
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var names []string
+	isFull := r.config.MaxMembers > 0 && len(r.log.members()) >= r.config.MaxMembers
 	add := func(name string) {
 		if name != r.name && !slices.Contains(names, name) && !r.isResponsive(now, t, name) {
 			names = append(names, name)
 		}
 	}
-	members := r.log.members()
-	for _, member := range members {
+	for _, member := range r.log.members() {
 		add(member.Name)
 	}
 	for _, name := range r.config.InitialMembers {
-		add(name)
-	}
-	for _, name := range candidates {
-		if len(members) < r.config.MaxMembers {
+		if !isFull { // another replica may have taken the place of an initial member
 			add(name)
 		}
 	}
 	return names
 }
 
+// makeNextChange makes the change of the members that Config.NextChange asks for. A replica that takes the place of
+// another one is added first: with one member more, as many disks may be lost as before.
+func (r *Replica) makeNextChange(t *tenure) {
+	if r.config.NextChange == nil {
+		return
+	}
+	join, replaces := r.config.NextChange(time.Now())
+	if join == "" {
+		return
+	}
+	if replaces == "" {
+		r.replaceMember(t, join)
+		return
+	}
+	replaced, ok := r.memberNamed(replaces)
+	if !ok || replaced.ID == r.store.id || r.memberCount() != r.config.MaxMembers || !r.allResponsive(time.Now(), t) {
+		return
+	}
+	identity, ok := r.identify(join)
+	if !ok || identity.ID == "" || r.hasMember(identity.ID) {
+		return
+	}
+	f := r.startJoin(t, Member{Name: join, ID: identity.ID})
+	defer r.endJoin(t)
+	if !r.awaitCatchUp(t, f) {
+		return
+	}
+	ctx := t.tomb.Context(context.Background())
+	if r.changeMembers(ctx, func(m Members) Members { return m.With(f.member) }) {
+		r.changeMembers(ctx, func(m Members) Members { return m.Without(replaced.ID) })
+	}
+}
+
+// allResponsive reports whether all members are responsive.
+func (r *Replica) allResponsive(now time.Time, t *tenure) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, member := range r.log.members() {
+		if member.ID != r.store.id && !r.isResponsive(now, t, member.Name) {
+			return false
+		}
+	}
+	return true
+}
+
 // isResponsive reports whether the member of this name has acknowledged a message sent within the last lease period.
 func (r *Replica) isResponsive(now time.Time, t *tenure, name string) bool {
 	for _, member := range r.log.members() {
@@ -109,6 +148,9 @@
 // new replica holds every committed entry before the old member is removed, and counts towards a quorum only once the
 // second membership change adds it.
 func (r *Replica) replaceMember(t *tenure, name string) {
+	if _, ok := r.memberNamed(name); !ok && r.config.MaxMembers > 0 && r.memberCount() >= r.config.MaxMembers {
+		return
+	}
 	identity, ok := r.identify(name)
 	if !ok || identity.ID == "" || r.hasMember(identity.ID) {
 		return
@@ -118,9 +160,6 @@
 	if !r.awaitCatchUp(t, f) {
 		return
 	}
-	if _, ok := r.memberNamed(name); !ok && r.config.MaxMembers > 0 && r.memberCount() >= r.config.MaxMembers {
-		return
-	}
 	ctx := t.tomb.Context(context.Background())
 	if old, ok := r.memberNamed(name); ok {
 		if !r.changeMembers(ctx, func(m Members) Members { return m.Without(old.ID) }) {
--- a/pkg/paxos/replica.go
+++ b/pkg/paxos/replica.go
@@ -72,9 +72,10 @@
 	InitialMembers []string // names of the replicas that create the log together when all of them are empty
 	Timing         Timing
 
-	// JoinCandidates returns the names of replicas that ask to become members. Nil means none.
-	JoinCandidates func() []string
-	// MaxMembers is the number of members up to which join candidates are added.
+	// NextChange returns the name of a replica that is to become a member, and that of the member whose place it takes,
+	// empty if it is an additional one. An empty first name means that no change is wanted. Nil means the same.
+	NextChange func(now time.Time) (join, replaces string)
+	// MaxMembers is the number of members up to which replicas are added without replacing one.
 	MaxMembers int
 	// RemoveAfter is how long a member must be unresponsive before it is removed, if enough others remain. Zero
 	// disables removal.
