Spread the load of hundreds of owners within seconds

Three moves in half a second, whatever the number of owners, take minutes for 880; 256 buckets of keys are a third of the owners, so that the planner did not see which owner of a bucket is busy; and a busy key that is more than the room of any one owner was never moved.

--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -247,9 +247,10 @@
 	k.host.mu.Lock()
 	loads := *k.host.loadsOf(service)
 	k.host.mu.Unlock()
+	moving := k.movingKeys(service)
 	plan := planner.Plan(now, ranges, upstreams, &loads,
 		func(instance realm.Instance) bool { return k.tracker.GrantsExpired(now, instance) },
-		func(keys realm.KeyRange) bool { return k.isMoving(service, keys) })
+		func(keys realm.KeyRange) bool { return overlapsAny(moving, keys) })
 	for _, assignment := range plan.Assignments {
 		// The previous owner's grants are no longer in force, or it is an earlier instance of the new owner. From now
 		// on it is sent no grant.
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -28,6 +29,24 @@
 	return false
 }
 
+// movingKeys returns the keys of a service that are moving, sorted; the caller holds k.mu.
+func (k *keyManager) movingKeys(service string) []realm.KeyRange {
+	var moving []realm.KeyRange
+	for m := range k.moving {
+		if m.service == service {
+			moving = append(moving, m.keys)
+		}
+	}
+	slices.SortFunc(moving, func(a, b realm.KeyRange) int { return int(a.From) - int(b.From) })
+	return moving
+}
+
+// overlapsAny reports whether keys overlap one of the given ranges, which are sorted and don't overlap each other.
+func overlapsAny(ranges []realm.KeyRange, keys realm.KeyRange) bool {
+	i, _ := slices.BinarySearchFunc(ranges, keys.From, func(r realm.KeyRange, from uint16) int { return int(r.To) - int(from) })
+	return i < len(ranges) && ranges[i].From <= keys.To
+}
+
 // startMove starts a task that moves keys.
 func (k *keyManager) startMove(service string, m keyed.Move) {
 	k.mu.Lock()
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -9,7 +9,7 @@
 // Report holds the counts of an entry host since its last report. A control host that does not lead joins those of the
 // entry hosts that report to it.
 type Report struct {
-	Loads      map[string]map[int]int   `json:"loads,omitempty"`       // number of requests by service and bucket of keys
+	Loads      map[string]map[int]int   `json:"key-loads,omitempty"`   // number of requests by service and bucket of keys
 	Latencies  map[string]time.Duration `json:"took,omitempty"`        // service time by upstream id; only upstreams without a queue
 	EntryHosts []string                 `json:"entry-hosts,omitempty"` // names of the entry hosts; empty in an entry host's own report
 }
--- a/internal/keyed/loads.go
+++ b/internal/keyed/loads.go
@@ -7,8 +7,15 @@
 	"lovagelink.example/lovagelink/internal/realm"
 )
 
-// Buckets is the number of equal ranges into which the key space is divided for counting requests.
-const Buckets = 256
+// Buckets is the number of equal ranges into which the key space is divided for counting requests. A service with a
+// thousand owners has several buckets for each.
+const Buckets = 4096
+
+// With few owners, the counts of neighbouring buckets are joined: there are too few requests to tell them apart.
+const (
+	maxCoarseOwners = 128 // most owners for which buckets are joined
+	joinedBuckets   = 16
+)
 
 const keysPerBucket = 65536 / Buckets
 
@@ -22,19 +29,29 @@
 // Bucket returns the index of the bucket that contains a key.
 func Bucket(key uint16) int { return int(key) / keysPerBucket }
 
+// surgeHalfLife is the half-life of the counts that show a change of the load early: keys become busy for a few seconds
+// only. surgeDeviations is by how many standard deviations these counts must differ from what the others predict.
+const (
+	surgeHalfLife   = 700 * time.Millisecond
+	surgeDeviations = 4.0
+)
+
 // Loads is an exponentially decaying count of the requests to each bucket of one service's keys.
 type Loads struct {
 	counts    [Buckets]float64
-	startedAt time.Time // time of the first Add
+	recent    [Buckets]float64 // the same with surgeHalfLife
+	startedAt time.Time        // time of the first Add
 	updatedAt time.Time
 }
 
 // Add adds request counts by bucket.
 func (l *Loads) Add(now time.Time, counts map[int]int) {
 	if !l.updatedAt.IsZero() {
-		decay := math.Exp2(-float64(now.Sub(l.updatedAt)) / float64(halfLife))
+		passed := float64(now.Sub(l.updatedAt))
+		decay, recentDecay := math.Exp2(-passed/float64(halfLife)), math.Exp2(-passed/float64(surgeHalfLife))
 		for i := range l.counts {
 			l.counts[i] *= decay
+			l.recent[i] *= recentDecay
 		}
 	}
 	if l.updatedAt.IsZero() {
@@ -44,16 +61,31 @@
 	for bucket, count := range counts {
 		if bucket >= 0 && bucket < Buckets {
 			l.counts[bucket] += float64(count)
+			l.recent[bucket] += float64(count)
 		}
 	}
 }
 
+// current returns the count of some neighbouring buckets: the decaying one, or, if the recent requests show that the
+// load has changed, what their rate would come to.
+func (l *Loads) current(first, last int) float64 {
+	count, recent := 0.0, 0.0
+	for i := first; i < last; i++ {
+		count += l.counts[i]
+		recent += l.recent[i]
+	}
+	const ratio = float64(halfLife) / float64(surgeHalfLife)
+	observed := 1 - math.Exp2(-float64(l.updatedAt.Sub(l.startedAt)+firstInterval)/float64(halfLife))
+	expected := count / observed / ratio
+	if math.Abs(recent-expected) > surgeDeviations*math.Sqrt(expected+1) {
+		return recent * ratio * observed
+	}
+	return count
+}
+
 // Rate returns the recent rate in requests per second, 0 if there are too few counts for an estimate.
 func (l *Loads) Rate(now time.Time) float64 {
-	total := 0.0
-	for _, count := range l.counts {
-		total += count
-	}
+	total := l.total()
 	if total == 0 || l.updatedAt.Sub(l.startedAt) < halfLife {
 		return 0 // too few counts for an estimate
 	}
@@ -65,19 +97,36 @@
 // firstInterval is the time that the first counts are assumed to cover: hosts report every second.
 const firstInterval = time.Second
 
-// weights returns the load of each bucket as a share of the total.
-func (l *Loads) weights() [Buckets]float64 {
+// total returns the number of requests that have been counted, the older ones in part.
+func (l *Loads) total() float64 {
 	total := 0.0
 	for _, count := range l.counts {
 		total += count
 	}
+	return total
+}
+
+// weights returns the load of each bucket as a share of the total, for a number of owners.
+func (l *Loads) weights(owners int) *[Buckets]float64 {
+	joined := 1
+	if owners <= maxCoarseOwners {
+		joined = joinedBuckets
+	}
+	weights := new([Buckets]float64)
+	total := 0.0
+	for first := 0; first < Buckets; first += joined {
+		count := l.current(first, first+joined) / float64(joined)
+		for i := first; i < first+joined; i++ {
+			weights[i] = count
+			total += count
+		}
+	}
 	idle := idleShare * total / Buckets
 	if total == 0 {
 		idle = 1
 	}
-	var weights [Buckets]float64
-	for i, count := range l.counts {
-		weights[i] = (count + idle) / (total + idle*Buckets)
+	for i := range weights {
+		weights[i] = (weights[i] + idle) / (total + idle*Buckets)
 	}
 	return weights
 }
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -14,7 +14,9 @@
 	overloadedRatio  = 1.3                    // an upstream with at least this multiple of the mean level is a source
 	underloadedRatio = 0.9                    // an upstream with at most this share of the mean level gets keys
 	balanceInterval  = 500 * time.Millisecond // least time between two rounds of rebalancing in one service
-	maxBalanceMoves  = 3                      // moves in one round: requests for keys that move have to wait
+	minBalanceMoves  = 3                      // most moves in one round for few upstreams: requests for keys that move have to wait
+	ownersPerMove    = 8                      // with many upstreams, one move in a round for each of this many
+	maxMovesFromOne  = 16                     // moves from one upstream in a round
 	maxNewOwners     = 4                      // upstreams among which one range of a lost or drained upstream is split
 	minMoveLoad      = 0.1                    // least load that a move carries, as a share of the mean level
 )
@@ -60,7 +62,8 @@
 
 // planState is the working state of one call of Plan.
 type planState struct {
-	weights    [Buckets]float64
+	weights    *[Buckets]float64
+	total      float64 // requests that the weights are based on
 	ready      []realm.Instance
 	releasable map[realm.Instance]bool
 	capacity   map[realm.Instance]float64
@@ -81,7 +84,7 @@
 	for zone := range partitionedZones(ranges, upstreams) {
 		p.partitionedAt[zone] = now
 	}
-	byInstance := make(map[realm.Instance]Upstream)
+	byInstance := make(map[realm.Instance]Upstream, len(upstreams))
 	for _, u := range upstreams {
 		byInstance[u.Instance] = u
 	}
@@ -98,7 +101,7 @@
 		case !isRegistered:
 			// A grant to the previous instance may still be in flight, and may reach its successor.
 			if next, ok := s.successor(r.Owner); ok {
-				s.load[next] += weightOf(&s.weights, r.KeyRange)
+				s.load[next] += weightOf(s.weights, r.KeyRange)
 				plan.Assignments = append(plan.Assignments, realm.Assignment{Service: p.service, Keys: r.KeyRange, Owner: next, ExpectedToken: r.FencingToken})
 			} else if grantsExpired(r.Owner) {
 				plan.Assignments = append(plan.Assignments, p.distribute(s, r.KeyRange, r.FencingToken, maxNewOwners)...)
@@ -110,7 +113,7 @@
 			}
 		case u.IsDraining:
 			nextOwner := s.leastLoaded()
-			s.load[nextOwner] += weightOf(&s.weights, r.KeyRange)
+			s.load[nextOwner] += weightOf(s.weights, r.KeyRange)
 			plan.Moves = append(plan.Moves, Move{r.KeyRange, r.Owner, r.FencingToken, nextOwner})
 		}
 	}
@@ -122,7 +125,10 @@
 }
 
 func newPlanState(ranges realm.Ranges, upstreams []Upstream, loads *Loads) *planState {
-	s := &planState{weights: loads.weights(), capacity: make(map[realm.Instance]float64), releasable: make(map[realm.Instance]bool), load: make(map[realm.Instance]float64)}
+	s := &planState{
+		total: loads.total(), capacity: make(map[realm.Instance]float64, len(upstreams)),
+		releasable: make(map[realm.Instance]bool, len(upstreams)), load: make(map[realm.Instance]float64, len(upstreams)),
+	}
 	total, totalCapacity := 0.0, 0.0
 	for _, u := range upstreams {
 		if u.IsReady {
@@ -132,8 +138,9 @@
 			totalCapacity += s.capacity[u.Instance]
 		}
 	}
+	s.weights = loads.weights(len(s.ready))
 	for _, r := range ranges {
-		weight := weightOf(&s.weights, r.KeyRange)
+		weight := weightOf(s.weights, r.KeyRange)
 		s.load[r.Owner] += weight
 		total += weight
 	}
@@ -171,16 +178,16 @@
 
 // distribute splits a range into parts of about equal load and assigns each part to the upstream with the lowest level.
 func (p *Planner) distribute(s *planState, keys realm.KeyRange, expectedToken uint64, parts int) []realm.Assignment {
-	weight := weightOf(&s.weights, keys)
+	weight := weightOf(s.weights, keys)
 	parts = max(1, min(parts, len(s.ready), keys.Size()))
 	var assignments []realm.Assignment
 	for left := parts; left > 0; left-- {
 		part := keys
 		if left > 1 {
-			part.To = min(splitKey(&s.weights, keys, weight/float64(parts)), keys.To-uint16(left-1))
+			part.To = min(splitKey(s.weights, keys, weight/float64(parts)), keys.To-uint16(left-1))
 		}
 		nextOwner := s.leastLoaded()
-		s.load[nextOwner] += weightOf(&s.weights, part)
+		s.load[nextOwner] += weightOf(s.weights, part)
 		assignments = append(assignments, realm.Assignment{Service: p.service, Keys: part, Owner: nextOwner, ExpectedToken: expectedToken})
 		if part.To == keys.To {
 			break
@@ -189,83 +196,3 @@
 	}
 	return assignments
 }
-
-// balance returns the moves of one round of rebalancing; their ranges don't overlap.
-func (p *Planner) balance(s *planState, ranges realm.Ranges, isMoving func(realm.KeyRange) bool) []Move {
-	var moves []Move
-	for len(moves) < maxBalanceMoves {
-		move, ok := s.nextBalanceMove(ranges, func(keys realm.KeyRange) bool {
-			return isMoving(keys) || slices.ContainsFunc(moves, func(m Move) bool { return m.Keys.Overlaps(keys) })
-		})
-		if !ok {
-			break
-		}
-		weight := weightOf(&s.weights, move.Keys)
-		s.load[move.Owner] -= weight
-		s.load[move.NextOwner] += weight
-		moves = append(moves, move)
-	}
-	return moves
-}
-
-// nextBalanceMove returns one move to the upstream with the lowest level, from the one with the highest level that has
-// a suitable range. An upstream without load gets keys even if no other one is overloaded.
-func (s *planState) nextBalanceMove(ranges realm.Ranges, isMoving func(realm.KeyRange) bool) (Move, bool) {
-	nextOwner := s.leastLoaded()
-	isEmpty := s.load[nextOwner] == 0
-	if s.meanLevel == 0 || !isEmpty && s.level(nextOwner) > underloadedRatio*s.meanLevel {
-		return Move{}, false
-	}
-	// If grants to the source may still be applied late, its keys would wait for their next owner for seconds.
-	sources := slices.DeleteFunc(slices.Clone(s.ready), func(instance realm.Instance) bool { return !s.releasable[instance] })
-	slices.SortFunc(sources, func(a, b realm.Instance) int {
-		return cmp.Or(cmp.Compare(s.level(b), s.level(a)), cmp.Compare(a.ID, b.ID))
-	})
-	for _, source := range sources {
-		if !isEmpty && s.level(source) < overloadedRatio*s.meanLevel {
-			break
-		}
-		spare := (s.level(source) - s.meanLevel) * s.capacity[source]
-		spareCapacity := (s.meanLevel - s.level(nextOwner)) * s.capacity[nextOwner]
-		want := min(spare, spareCapacity)
-		if isEmpty {
-			want = max(want, s.load[source]/2)
-		}
-		if move, ok := s.pickKeys(ranges, source, want, isMoving); ok {
-			move.NextOwner = nextOwner
-			return move, true
-		}
-	}
-	return Move{}, false
-}
-
-// pickKeys picks keys at an end of one range of the source, with a load of about want, and returns their move without a
-// next owner. If a busy key lies at one end of a range, keys at the other end move: the busy key stays, since it would
-// be the same load for any other owner.
-func (s *planState) pickKeys(ranges realm.Ranges, source realm.Instance, want float64, isMoving func(realm.KeyRange) bool) (Move, bool) {
-	var best Move
-	bestWeight := 0.0
-	consider := func(r realm.Range, keys realm.KeyRange) {
-		weight := weightOf(&s.weights, keys)
-		if weight <= 1.2*want && weight > bestWeight && !isMoving(keys) {
-			best, bestWeight = Move{Keys: keys, Owner: source, FencingToken: r.FencingToken}, weight
-		}
-	}
-	for _, r := range ranges {
-		if r.Owner != source || !r.Active {
-			continue
-		}
-		total := weightOf(&s.weights, r.KeyRange)
-		if total <= want {
-			consider(r, r.KeyRange)
-			continue
-		}
-		low := r.KeyRange
-		low.To = splitKey(&s.weights, r.KeyRange, want)
-		consider(r, low)
-		if split := splitKey(&s.weights, r.KeyRange, total-want); split < r.To {
-			consider(r, realm.KeyRange{From: split + 1, To: r.To})
-		}
-	}
-	return best, bestWeight >= minMoveLoad*s.meanLevel
-}
--- a/internal/keyed/plan_test.go
+++ b/internal/keyed/plan_test.go
@@ -165,11 +165,12 @@
 	is := is.New(t)
 	var loads Loads
 	counts := make(map[int]int)
-	for bucket := range Buckets {
-		counts[bucket] = 10
+	const parts = 256 // of the keys
+	for part := range parts {
+		counts[part*Buckets/parts] = 10
 	}
-	for bucket := 40; bucket < 60; bucket++ {
-		counts[bucket] = 150
+	for part := 40; part < 60; part++ {
+		counts[part*Buckets/parts] = 150
 	}
 	loads.Add(start, counts)
 	var upstreams []Upstream
