Obey upstreams that say they leave or want no requests for a while

The platform's upstreams that leave say so in all their responses, and those that refuse may say for how long they want nothing from a host. Before, an entry host learned of a leaving upstream from the control hosts only, not at all while it was cut off from them, and sent the next request to a refusing upstream after one service time.

During a pause, requests for the upstream's keys are refused at once with the time that is left, also those that wait in the queue, and others go elsewhere.

Believed is a signed response with the request's id, or a refusal; not an interim response, an answer to another request or an unsigned one, which may come from another process or be damaged.

--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -101,6 +101,14 @@
 // Withdraw removes a queued request; it reports whether the request was still queued.
 func (l *Limiter[T]) Withdraw(item *queue.Item[T]) bool { return l.queue.Remove(item) }
 
+// WithdrawAll removes and returns all queued requests.
+func (l *Limiter[T]) WithdrawAll() (items []*queue.Item[T]) {
+	for l.queue.Len() > 0 {
+		items = append(items, l.queue.Pop())
+	}
+	return items
+}
+
 // OnResponse records a response of the upstream, its latency, and the reported load if hasLoad is true.
 func (l *Limiter[T]) OnResponse(now time.Time, latency time.Duration, load calls.Load, hasLoad bool) {
 	l.inFlight--
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -50,11 +50,14 @@
 
 // ResponseInfo is the information about the request in the headers of an upstream's response.
 type ResponseInfo struct {
-	MatchesID     bool // the response carries the id of the request
-	IsMismatched  bool // the response carries the id of another request
-	IsSigned      bool // the response carries a signature of the upstream
-	IsNotRun      bool // the upstream has not run the request
-	WrongUpstream bool // an upstream other than the intended one has responded
+	MatchesID     bool          // the response carries the id of the request
+	IsMismatched  bool          // the response carries the id of another request
+	IsSigned      bool          // the response carries a signature of the upstream
+	IsNotRun      bool          // the upstream has not run the request
+	WrongUpstream bool          // an upstream other than the intended one has responded
+	IsLeaving     bool          // the upstream is about to end
+	Pause         time.Duration // how long the upstream wants no requests from this host, 0 if it has not said so
+	Unreadable    string        // a header with a value that can't be read and is ignored, with that value
 	Load          Load
 	HasLoad       bool
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,6 +80,7 @@
 	peer.HandleTyped(endpoint, "understands-packed", h.handleUnderstandsPacked)
 	peer.HandleTyped(endpoint, "announce", h.handleAnnouncement)
 	peer.HandleTyped(endpoint, "leave", h.handleLeave)
+	peer.HandleTyped(endpoint, "leavers", h.handleLeavers)
 	peer.HandleTyped(endpoint, "follow", h.handleFollow)
 	peer.HandleTyped(endpoint, "report", h.handleReport)
 	return h, nil
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -399,3 +399,33 @@
 	is.Equal(clients.Load(), int64(1))
 	is.NoErr(upstreams.violation)
 }
+
+// An upstream that has told an entry host that it is leaving drains for all: its keys move, and all entry hosts learn of
+// it. A report about another instance, or about an upstream that is not registered, changes nothing.
+func TestLeaversOfEntryHostsDrain(t *testing.T) {
+	is := is.New(t)
+	u := newFakeUpstreams()
+	h := startHost(t, 8, u)
+	ctx := context.Background()
+	is.NoErr(h.AcceptConfig(ctx, time.Now(), route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: true}}}, []byte("1")))
+	sendHeartbeats(t, h, 40, 41)
+	waitFor(t, "keys granted", func() bool { return u.ownedKeys(loopback(40, 29300)) > 0 && u.ownedKeys(loopback(41, 29300)) > 0 })
+	before := h.Status(time.Now()).Commit
+	other := upstreamOf(40).Instance
+	other.StartMillis++
+	_, err := h.handleLeavers(ctx, "front-1", LeaversReport{Instances: []realm.Instance{other, {ID: "nobody"}}})
+	is.NoErr(err)
+	h.Read(func(s *realm.State) { is.Equal(s.Upstreams[upstreamOf(40).ID].Phase, realm.Ready) })
+	for range 3 { // several hosts report the same
+		_, err = h.handleLeavers(ctx, "front-1", LeaversReport{Instances: []realm.Instance{upstreamOf(40).Instance}})
+		is.NoErr(err)
+	}
+	h.Read(func(s *realm.State) { is.Equal(s.Upstreams[upstreamOf(40).ID].Phase, realm.Draining) })
+	waitFor(t, "all keys at the other upstream", func() bool {
+		return u.ownedKeys(loopback(40, 29300)) == 0 && u.ownedKeys(loopback(41, 29300)) == realm.AllKeys.Size()
+	})
+	is.True(h.Status(time.Now()).Commit > before)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	is.NoErr(u.violation)
+}
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -128,6 +128,33 @@
 	return proposeReply{OK: true}, h.propose(ctx, paxos.Ballot{}, realm.Command{SetPhase: []realm.PhaseChange{{Instance: instance, Phase: realm.Gone}}})
 }
 
+// LeaversReport lists upstreams that have said in a response to an entry host that they are leaving.
+type LeaversReport struct {
+	Instances []realm.Instance `json:"lives"`
+}
+
+// handleLeavers records in the log that upstreams are draining, so that their keys move and all entry hosts learn of it.
+func (h *Host) handleLeavers(ctx context.Context, from string, report LeaversReport) (bool, error) {
+	if !h.hasLeaderContact(time.Now()) {
+		return false, ErrUnavailable
+	}
+	var command realm.Command
+	h.readNewest(func(s *realm.State) {
+		for _, instance := range report.Instances {
+			if u := s.Upstreams[instance.ID]; u != nil && u.Instance == instance && (u.Phase == realm.Ready || u.Phase == realm.Lost) {
+				command.SetPhase = append(command.SetPhase, realm.PhaseChange{Instance: instance, Phase: realm.Draining})
+			}
+		}
+	})
+	for _, change := range command.SetPhase {
+		_ = h.logger.Log("event", "upstream-drains", "upstream", change.ID, "born", change.StartMillis, "reason", "it has told an entry host", "entry", from)
+	}
+	if len(command.SetPhase) == 0 {
+		return true, nil
+	}
+	return true, h.proposeViaLeader(ctx, command)
+}
+
 // heartbeatReport lists the instances whose heartbeats a host has received since its last report to the leader, and what
 // entry hosts have reported to it.
 type heartbeatReport struct {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -99,6 +99,9 @@
 			return nil, calls.ResponseInfo{}, err
 		}
 		info := f.codec.ParseResponse(response.StatusCode, response.Header, c.info.ID, u.registration.ID)
+		if isOwnWord(info) {
+			f.recordNotices(c, u, info)
+		}
 		if info.IsMismatched {
 			f.stats.Mismatched.Add(1)
 			if err := http1.DiscardBody(response, maxBufferedBody); err != nil {
@@ -124,6 +127,36 @@
 	return nil, calls.ResponseInfo{}, errMismatched
 }
 
+// isOwnWord reports whether a response is the upstream's own to this request: signed with the request's id, or a refusal,
+// which bears no signature and not always an id. Any other response may come from another process that had the address,
+// or be damaged.
+func isOwnWord(info calls.ResponseInfo) bool {
+	if info.IsNotRun {
+		return !info.IsMismatched && !info.WrongUpstream
+	}
+	return info.MatchesID && info.IsSigned
+}
+
+// recordNotices records what an upstream has said in a response about the requests that it wants, and tells the control
+// hosts of an upstream that is leaving.
+func (f *Front) recordNotices(c *call, u *upstream, info calls.ResponseInfo) {
+	if info.Unreadable != "" {
+		_ = f.logger.Log("event", "header-ignored", "id", c.info.ID, "upstream", u.registration.ID, "header", info.Unreadable)
+	}
+	if info.Pause > 0 {
+		_ = f.logger.Log("event", "upstream-pauses", "id", c.info.ID, "upstream", u.registration.ID, "for", info.Pause)
+	}
+	if !u.recordNotices(time.Now(), info) {
+		return
+	}
+	_ = f.logger.Log("event", "upstream-leaves", "id", c.info.ID, "upstream", u.registration.ID)
+	select {
+	case f.leavers <- u.registration.Instance:
+	default: // this host sends it no more requests itself; others learn of it from their own responses
+		_ = f.logger.Log("event", "upstream-leaves", "upstream", u.registration.ID, "outcome", "not-reported", "reason", "too many reports wait")
+	}
+}
+
 // impliesNotRun reports whether a status tells the caller that its request has not run and never will.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/front/faulty_test.go
+++ b/internal/front/faulty_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -27,12 +28,17 @@
 // testCodec describes requests and responses by short headers.
 type testCodec struct{}
 
-func (testCodec) Read(h http.Header) calls.RequestInfo { return calls.RequestInfo{ID: h.Get("Id")} }
+func (testCodec) Read(h http.Header) calls.RequestInfo {
+	key, err := strconv.ParseUint(h.Get("Key"), 10, 16)
+	return calls.RequestInfo{ID: h.Get("Id"), Key: uint16(key), HasKey: err == nil}
+}
 
 func (testCodec) Write(http.Header, string, time.Duration) {}
 
 func (testCodec) ParseResponse(_ int, h http.Header, id, _ string) calls.ResponseInfo {
+	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return calls.ResponseInfo{
+		IsLeaving: h.Get("Leaving") != "", Pause: pause,
 		MatchesID: h.Get("Id") == id, IsMismatched: h.Get("Id") != "" && h.Get("Id") != id,
 		IsSigned: h.Get("Signed") != "", IsNotRun: h.Get("Not-Run") != "",
 	}
@@ -103,10 +109,17 @@
 
 // startFront serves callers and routes /once/ and /often/ to the upstreams of one service. It returns the URL.
 func startFront(t *testing.T, upstreams ...*faultyUpstream) string {
+	t.Helper()
+	_, url := startFrontOf(t, false, upstreams...)
+	return url
+}
+
+// startFrontOf is like startFront for a service that may be divided by key: each upstream owns an equal part.
+func startFrontOf(t *testing.T, isKeyed bool, upstreams ...*faultyUpstream) (*Front, string) {
 	t.Helper()
 	f := New(site.Host{Name: "front", Bounds: site.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 600}}, peer.NewDynamic(peer.TCP{}, "front", netip.AddrPort{}), testCodec{}, log.NewNopLogger())
 	destinations := []route.Destination{{Service: "s", Weight: 1}}
-	update := realm.Update{Index: 1, Config: &route.Config{Version: 1, Services: []route.Service{{Name: "s"}}, Routes: []route.Route{
+	update := realm.Update{Index: 1, Ranges: make(map[string]realm.Ranges), Config: &route.Config{Version: 1, Services: []route.Service{{Name: "s", Keyed: isKeyed}}, Routes: []route.Route{
 		{Name: "once", Host: "a.example", Prefix: "/once/", Timeout: time.Second, LatencyTarget: time.Second, Attempts: 3, Destinations: destinations},
 		{Name: "often", Host: "a.example", Prefix: "/often/", Repeat: route.Idempotent, Timeout: time.Second, LatencyTarget: time.Second, Attempts: 1, Destinations: destinations},
 	}}}
@@ -114,6 +127,12 @@
 		update.Upstreams = append(update.Upstreams, realm.Upstream{
 			Instance: realm.Instance{ID: fmt.Sprint("u", i), StartMillis: 1}, Service: "s", Address: u.address, Concurrency: 2,
 		})
+		if isKeyed {
+			size := 65536 / len(upstreams)
+			update.Ranges["s"] = append(update.Ranges["s"], realm.Range{
+				KeyRange: realm.KeyRange{From: uint16(i * size), To: uint16((i+1)*size - 1)}, Owner: update.Upstreams[i].Instance, FencingToken: 1, Active: true, Changed: 1,
+			})
+		}
 	}
 	view, err := (&View{}).With(time.Now(), update)
 	if err != nil {
@@ -126,7 +145,7 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() { _ = f.server.Serve(listener) }()
-	return "http://" + listener.Addr().String()
+	return f, "http://" + listener.Addr().String()
 }
 
 // ask sends a request; status 0 means that there was no complete response.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -104,6 +104,13 @@
 		changed := f.viewChange()
 		view := f.view.Load()
 		state, token, isOwned := view.Owner(now, c.service.Name, c.info.Key)
+		ownerlessFor := time.Duration(0)
+		if isOwned {
+			ownerlessFor = f.upstreamFor(state.Upstream).goneFor(now)
+			isOwned = ownerlessFor == 0
+		} else {
+			ownerlessFor = view.OwnerlessFor(now, c.service.Name, c.info.Key)
+		}
 		if isOwned {
 			u := f.upstreamFor(state.Upstream)
 			if wait := u.missingKeysBackoff(now, token); wait == 0 {
@@ -118,7 +125,7 @@
 		}
 		// A key that has had no owner for longer than a move lasts is being taken over from a lost upstream. That waits
 		// until the grants of the lost upstream expire, since they can't be released.
-		if !isOwned && view.OwnerlessFor(now, c.service.Name, c.info.Key) >= maxOwnerWait {
+		if !isOwned && ownerlessFor >= maxOwnerWait {
 			return nil, c.refuse(takeoverRetryAfter, "the keys wait for their next owner")
 		}
 		timer := time.NewTimer(min(waitEnd.Sub(now), missingPollInterval))
@@ -139,7 +146,8 @@
 const takeoverRetryAfter = time.Second
 
 // chooseAny returns the upstream with the lowest estimated latency. It prefers upstreams that the request has not been
-// sent to over those that it has, and among each of these the ready upstreams over the lost ones.
+// sent to over those that it has, and among each of these the ready upstreams over the lost ones, and these over those
+// that are leaving.
 func (f *Front) chooseAny(now time.Time, c *call) (*upstream, *outcome) {
 	pool := f.poolOf(f.view.Load(), c.service.Name)
 	for _, wasTried := range []bool{false, true} {
@@ -149,7 +157,12 @@
 			}
 		}
 	}
-	return nil, c.refuse(unreadyRetryAfter, "no upstream of the service can be reached")
+	for _, u := range pool.ready {
+		if u.goneFor(now) == 0 && u.backoff(now) == 0 {
+			return u, nil
+		}
+	}
+	return nil, c.refuse(pool.nextUse(now), "no upstream of the service can be reached or wants requests")
 }
 
 // isEligible reports whether a request that has waited in the queue of an upstream may still be sent to it.
@@ -157,7 +170,7 @@
 	view := f.view.Load()
 	if c.service.Keyed {
 		state, token, ok := view.Owner(now, c.service.Name, c.info.Key)
-		return ok && state.Instance == u.registration.Instance && u.missingKeysBackoff(now, token) == 0
+		return ok && state.Instance == u.registration.Instance && u.missingKeysBackoff(now, token) == 0 && u.goneFor(now) == 0
 	}
 	state := view.Upstream(u.registration.ID)
 	return state != nil && state.Instance == u.registration.Instance && !state.IsLeaving()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,7 @@
 	refusing        atomic.Bool  // new requests are refused, since they would not end before the process does
 	stats           stats
 	meter           atomic.Pointer[meter.Meter]
+	leavers         chan realm.Instance // upstreams that have said that they are leaving, to be reported
 
 	mu        sync.Mutex
 	changed   chan struct{} // is closed and replaced when the view changes
@@ -59,7 +60,7 @@
 func New(host site.Host, endpoint *peer.Endpoint, codec Codec, logger log.Logger) *Front {
 	f := &Front{
 		site: host, endpoint: endpoint, codec: codec, logger: logger,
-		changed: make(chan struct{}), upstreams: make(map[realm.Instance]*upstream),
+		changed: make(chan struct{}), leavers: make(chan realm.Instance, maxLeavers), upstreams: make(map[realm.Instance]*upstream),
 		pools:  make(map[string]*pool),
 		splits: make(map[string]*route.Split), budgets: make(map[string]*admit.RetryBudget),
 		keyCounts: make(map[string]map[int]int), hostCount: initialHostCount,
@@ -98,6 +99,7 @@
 	})
 	f.tomb.Go(f.follow)
 	f.tomb.Go(f.report)
+	f.tomb.Go(f.reportLeavers)
 	return nil
 }
 
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	limiter *admit.Limiter[*waiter]
 	health  admit.Health
+	notices admit.Notices
 	idle    []*http1.ClientConn
 	timer   *time.Timer // fires when the next delayed request may start
 	closed  bool
@@ -63,9 +64,10 @@
 	return max(0, u.missingUntil.Sub(now))
 }
 
-// waiter is a queued request; start is closed when the request may be sent.
+// waiter is a queued request; start is closed when the request may be sent, or is refused.
 type waiter struct {
-	start chan struct{}
+	start   chan struct{}
+	refusal *admit.Refusal
 }
 
 func newUpstream(registration realm.Upstream) *upstream {
@@ -86,12 +88,12 @@
 	u.mu.Unlock()
 	select {
 	case <-item.Value.start:
-		return nil, true
+		return item.Value.refusal, item.Value.refusal == nil
 	case <-ctx.Done():
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.limiter.Withdraw(item) {
+	if !u.limiter.Withdraw(item) && item.Value.refusal == nil {
 		u.limiter.OnFailure()
 		u.startWaiters(time.Now())
 	}
@@ -186,11 +188,44 @@
 	return u.limiter.Busy()
 }
 
-// backoff returns how much longer no request is sent to the upstream because it is unreachable.
+// backoff returns how much longer no request is sent to the upstream, because it is unreachable or wants none.
 func (u *upstream) backoff(now time.Time) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.health.Backoff(now)
+	return max(u.health.Backoff(now), u.notices.PauseLeft(now))
+}
+
+// recordNotices records what the upstream has said in a response about the requests that it wants. It reports whether
+// the upstream has said for the first time that it is leaving.
+func (u *upstream) recordNotices(now time.Time, info calls.ResponseInfo) (startsToLeave bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if info.Pause > 0 {
+		u.notices.RecordPause(now, info.Pause)
+		u.refuseWaiters(now)
+	}
+	return info.IsLeaving && u.notices.RecordLeaving(now)
+}
+
+// refuseWaiters refuses all queued requests, since the upstream wants none for a while. The caller holds u.mu.
+func (u *upstream) refuseWaiters(now time.Time) {
+	for _, item := range u.limiter.WithdrawAll() {
+		item.Value.refusal = &admit.Refusal{After: u.notices.PauseLeft(now)}
+		close(item.Value.start)
+	}
+}
+
+func (u *upstream) isLeaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.notices.IsLeaving()
+}
+
+// goneFor returns for how long an upstream that has said that it is leaving is no longer sent requests for its keys.
+func (u *upstream) goneFor(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.notices.GoneFor(now, drainingGrace)
 }
 
 // cost estimates the latency of a request to the upstream, increased for recent failures.
