Move all busy keys of an owner in one call, spare the leader, and back off from upstreams that reset connections

Each part that left a busy owner needed a release of its own, which an upstream with a long queue resets; first grants were paced for a quarter of a core on hosts with half a core, beside 440 renewals a second; 5,786 requests for busy keys ended with 502, since each connection that a full upstream resets was followed by three more.

Change: adjacent parts from one owner move with one release and one entry; the pace of grants follows the share of a core in the settings; with many upstreams a round comes each 250 ms; entry hosts report each 500 ms and follow the leader only if there is no other control host in their zone, as do heartbeats; a reset of a new connection counts as overload with a back-off of 0.1 to 1 s, not as a failure of the upstream. What may have run is not said not to have run.

TestFullUpstreamResetsConnections, TestResetsAreOverload, TestSourcesSpareTheLeader.

--- a/internal/admit/flood_test.go
+++ b/internal/admit/flood_test.go
@@ -270,3 +270,25 @@
 	h.Succeeded()
 	is.Equal(h.Backoff(now), time.Duration(0))
 }
+
+// An upstream that resets new connections because it is full is left alone for a while, but not taken for one that
+// fails: its share of failures, by which others are preferred, stays.
+func TestResetsAreOverload(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var h Health
+	for _, want := range []time.Duration{minResetBackoff, 2 * minResetBackoff, 4 * minResetBackoff} {
+		h.Reset(now)
+		is.Equal(h.Backoff(now), want)
+		now = now.Add(want)
+	}
+	for range 10 {
+		h.Reset(now)
+	}
+	is.Equal(h.Backoff(now), maxResetBackoff)
+	is.Equal(h.Weigh(time.Second), time.Second)
+	h.Succeeded()
+	is.Equal(h.Backoff(now), time.Duration(0))
+	h.Reset(now)
+	is.Equal(h.Backoff(now), minResetBackoff)
+}
--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"slices"
 	"strings"
@@ -76,7 +77,7 @@
 func markOf(hosts []Member) uint64 {
 	hash := fnv.New64a()
 	for _, host := range hosts {
-		hash.Write([]byte(host.Name + "/" + host.Zone + ","))
+		fmt.Fprintf(hash, "%s/%s/%t,", host.Name, host.Zone, host.Leads)
 	}
 	return hash.Sum64() | 1
 }
@@ -106,6 +107,9 @@
 			members = append(members, Member{Name: name, Zone: h.zones[name]})
 		}
 	}
+	for i := range members {
+		members[i].Leads = members[i].Name == h.name
+	}
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return members
 }
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -107,7 +107,7 @@
 	}
 	owners := h.owners()
 	k.tracker = keyed.NewGrantTracker(now, k.terms, owners)
-	k.pacer = keyed.NewPacer(keyed.MinGrantInterval)
+	k.pacer = keyed.NewPacer(keyed.GrantInterval(h.site.Processor))
 	k.tomb.Go(k.proposeActivations)
 	return k
 }
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -67,16 +67,20 @@
 func (k *keyManager) runMove(service string, m keyed.Move) {
 	ctx := k.tomb.Context(context.Background())
 	logger := log.With(k.host.logger, "event", "keys-moved", "service", service, "from", m.Keys.From, "to", m.Keys.To,
-		"owner", m.Owner.ID, "heir", m.NextOwner.ID, "fence", m.FencingToken)
+		"owner", m.Owner.ID, "heir", m.Parts[0].NextOwner.ID, "parts", len(m.Parts), "fence", m.FencingToken)
 	start := time.Now()
 	handover, err := k.release(ctx, service, m)
 	if err != nil {
 		_ = logger.Log("outcome", "given-up", "took", time.Since(start), "reason", err)
 		return
 	}
-	k.proposeUntilKnown(realm.Command{Assignments: []realm.Assignment{{
-		Service: service, Keys: m.Keys, Owner: m.NextOwner, ExpectedToken: m.FencingToken, Handover: handover,
-	}}})
+	var command realm.Command
+	for _, part := range m.Parts {
+		command.Assignments = append(command.Assignments, realm.Assignment{
+			Service: service, Keys: part.Keys, Owner: part.NextOwner, ExpectedToken: m.FencingToken, Handover: handover,
+		})
+	}
+	k.proposeUntilKnown(command)
 	_ = logger.Log("outcome", "assigned", "took", time.Since(start))
 }
 
--- a/internal/core/sources.go
+++ b/internal/core/sources.go
@@ -34,25 +34,34 @@
 	switch {
 	case i < 0:
 		s.members = append(s.members, member)
-	case member.Zone != "":
-		s.members[i].Zone = member.Zone
+	default:
+		if member.Zone != "" {
+			s.members[i].Zone = member.Zone
+		}
+		s.members[i].Leads = member.Leads
 	}
 }
 
 // Pick returns the control host to follow next: one in this host's zone that has not failed for ownZoneRetryInterval,
-// or else the one whose last failure is the longest ago.
+// rather another than the leader, or else the one whose last failure is the longest ago.
 func (s *Sources) Pick(now time.Time) string {
-	best, bestFailed := "", time.Time{}
+	best, bestFailed, leader := "", time.Time{}, ""
 	for i := range s.members {
 		member := s.members[(s.offset+i)%len(s.members)]
 		failed := s.failed[member.Name]
 		if member.Zone == s.ownZone && s.ownZone != "" && now.Sub(failed) >= ownZoneRetryInterval {
-			return member.Name
+			if !member.Leads {
+				return member.Name
+			}
+			leader = member.Name
 		}
 		if best == "" || failed.Before(bestFailed) {
 			best, bestFailed = member.Name, failed
 		}
 	}
+	if leader != "" {
+		return leader
+	}
 	return best
 }
 
--- a/internal/core/sources_test.go
+++ b/internal/core/sources_test.go
@@ -30,3 +30,18 @@
 	is.True(s.Pick(now.Add(time.Second)) != "z")
 	is.Equal(s.Pick(now.Add(ownZoneRetryInterval)), "z")
 }
+
+// Another control host of the zone is followed rather than the leader, and the leader rather than one of another zone.
+func TestSourcesSpareTheLeader(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewSources("a", 0, nil)
+	s.Add(Member{Name: "far", Zone: "b"})
+	s.Add(Member{Name: "leader", Zone: "a", Leads: true})
+	is.Equal(s.Pick(now), "leader")
+	s.Add(Member{Name: "near", Zone: "a"})
+	is.Equal(s.Pick(now), "near")
+	s.Add(Member{Name: "leader", Zone: "a"})
+	s.Add(Member{Name: "near", Zone: "a", Leads: true}) // another host leads now
+	is.Equal(s.Pick(now), "leader")
+}
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -17,6 +17,9 @@
 type Member struct {
 	Name string `json:"name"`
 	Zone string `json:"zone,omitempty"` // empty until the zone is known
+	// Leads is true for the leader of the log, which has other work to do: it is followed and sent heartbeats only if
+	// there is no other control host in the zone.
+	Leads bool `json:"leads,omitempty"`
 }
 
 func (h *Host) handleZone(context.Context, string, struct{}) (string, error) { return h.site.Zone, nil }
@@ -60,15 +63,16 @@
 	return members
 }
 
-// ControlHostIn returns the public address of a control host in a zone; it reports false if this host itself is in the
-// zone or no other control host in it is known.
+// ControlHostIn returns the public address of a control host in a zone that does not lead; it reports false if this host
+// itself is one, or no other is known.
 func (h *Host) ControlHostIn(now time.Time, zone string) (netip.AddrPort, bool) {
-	if zone == h.site.Zone {
+	_, leads := h.leads(now)
+	if zone == h.site.Zone && !leads {
 		return netip.AddrPort{}, false
 	}
 	var inZone []string
 	for _, member := range h.controlHosts(now) {
-		if member.Zone == zone {
+		if member.Zone == zone && !member.Leads {
 			inZone = append(inZone, member.Name)
 		}
 	}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		stop()
 		conn.Close()
-		return f.recordFailure(ctx, c, u, err)
+		return f.recordFailure(ctx, c, u, conn.WasRefused(err), err)
 	}
 	if info.IsNotRun {
 		err := http1.DiscardBody(response, maxBufferedBody)
@@ -49,7 +49,7 @@
 	if err != nil {
 		stop()
 		conn.Close()
-		return f.recordFailure(ctx, c, u, err)
+		return f.recordFailure(ctx, c, u, false, err)
 	}
 	now := time.Now()
 	u.recordResponse(now, now.Sub(start), info, response.StatusCode < http.StatusInternalServerError)
@@ -189,8 +189,8 @@
 }
 
 // recordFailure records an attempt that failed once a connection was open. The outcome of the request is unknown unless
-// nothing of it was sent.
-func (f *Front) recordFailure(ctx context.Context, c *call, u *upstream, err error) result {
+// nothing of it was sent; that holds for a connection which the upstream has reset while it was new, too.
+func (f *Front) recordFailure(ctx context.Context, c *call, u *upstream, isReset bool, err error) result {
 	now := time.Now()
 	if ctx.Err() != nil {
 		u.releasePermit(now)
@@ -200,7 +200,11 @@
 		u.releasePermit(now)
 		return unsent
 	}
-	u.recordFailure(now, false)
+	if isReset {
+		u.recordReset(now)
+	} else {
+		u.recordFailure(now, false)
+	}
 	_ = f.logger.Log("event", "attempt-lost", "id", c.info.ID, "upstream", u.registration.ID, "attempt", c.sent, "reason", err)
 	return outcomeUnknown
 }
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -19,10 +19,10 @@
 	FollowTime          = 1200 * time.Millisecond // time within which a healthy control host responds
 	followTimeout       = 1400 * time.Millisecond
 	followRetryInterval = 50 * time.Millisecond
-	reportInterval      = time.Second
+	reportInterval      = 500 * time.Millisecond // busy keys change within seconds
 	reportTimeout       = 500 * time.Millisecond
 	maxReportTries      = 3
-	latencyRounds       = 4 // one report in this many includes the upstreams' latencies, which change less than the load
+	latencyRounds       = 8 // one report in this many includes the upstreams' latencies, which change less than the load
 )
 
 // received is the outcome of a follow call.
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -184,3 +184,41 @@
 	_, refusal = f.chooseAny(now.Add(drainingGrace+time.Millisecond), newCall(f, now, 0))
 	is.Equal(refusal.status, http.StatusServiceUnavailable)
 }
+
+// An upstream that resets new connections because it is full is not taken for a lost one. A request that must not run
+// twice is not sent again, since its bytes may have arrived, and is not said not to have run; one that may be repeated is
+// refused with the time of the back-off, and the upstream gets no more connections until then.
+func TestFullUpstreamResetsConnections(t *testing.T) {
+	is := is.New(t)
+	var isFull atomic.Bool
+	var count atomic.Int64
+	isFull.Store(true)
+	full := newFaultyUpstream(t, func(u *faultyUpstream, conn net.Conn, id string, _ bool) {
+		count.Add(1)
+		u.run(id)
+		if isFull.Load() {
+			is.NoErr(conn.(*net.TCPConn).SetLinger(0))
+			is.NoErr(conn.Close())
+			return
+		}
+		_, _ = io.WriteString(conn, okHead+"Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+	})
+	f, url := startFrontOf(t, false, full)
+	client := &http.Client{}
+	status, _ := ask(t, client, url+"/once/x", "once")
+	is.Equal(status, http.StatusBadGateway)
+	is.Equal(full.executionsOf("once"), 1)
+	u := f.upstreamFor(f.view.Load().Upstream("u0").Upstream)
+	is.True(u.backoff(time.Now()) > 0)
+	is.True(u.backoff(time.Now()) <= 100*time.Millisecond)
+	before := count.Load()
+	for i := range 10 {
+		status, _ = ask(t, client, url+"/often/x", fmt.Sprint("often", i))
+		is.Equal(status, http.StatusServiceUnavailable)
+	}
+	is.True(count.Load()-before <= 2)
+	isFull.Store(false)
+	time.Sleep(500 * time.Millisecond)
+	status, _ = ask(t, client, url+"/once/x", "later")
+	is.Equal(status, http.StatusOK)
+}
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -168,6 +168,15 @@
 	u.startWaiters(now)
 }
 
+// recordReset records that the upstream has reset a new connection.
+func (u *upstream) recordReset(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limiter.OnOverload(now)
+	u.health.Reset(now)
+	u.startWaiters(now)
+}
+
 // takeServiceTime returns and resets the mean latency of those requests since its last call after which nothing was
 // queued at the upstream. It returns 0 if there were none.
 func (u *upstream) takeServiceTime() time.Duration {
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -38,6 +38,7 @@
 	lastUsed    time.Time       // when the connection was opened, or last carried a complete response
 	keepAlive   time.Duration   // how long the idle connection can be reused, 0 if the upstream announced no timeout
 	bodyWritten chan struct{}   // closed when the last request with a large body has been written, nil if there was none
+	responses   int             // final responses that have been received
 	refused     map[string]bool // ids of the requests that the upstream has refused on this connection
 }
 
@@ -59,6 +60,12 @@
 // HasRefused reports whether the upstream has refused a request on this connection.
 func (c *ClientConn) HasRefused(id string) bool { return c.refused[id] }
 
+// WasRefused reports whether an error on the connection means that the upstream has reset it while it was new, as an
+// upstream does that accepts no more connections. The request on it may have been read nevertheless.
+func (c *ClientConn) WasRefused(err error) bool {
+	return c.responses == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+}
+
 // Dial connects to an upstream.
 func Dial(ctx context.Context, now time.Time, address netip.AddrPort) (*ClientConn, error) {
 	// Deadlines and TCP_USER_TIMEOUT find dead connections, and each keep-alive option would cost a system call.
@@ -164,6 +171,7 @@
 			return nil, err
 		}
 		if response.StatusCode >= 200 {
+			c.responses++
 			c.recordKeepAlive(response)
 			return response, nil
 		}
--- a/internal/keyed/balance.go
+++ b/internal/keyed/balance.go
@@ -61,7 +61,7 @@
 	// If grants to a source may still be applied late, its keys would wait for their next owner for seconds.
 	sources := s.newHeap(slices.DeleteFunc(slices.Clone(s.ready), func(i realm.Instance) bool { return !s.releasable[i] }), true)
 	targets := s.newHeap(s.ready, false)
-	movesFrom := make(map[realm.Instance]int)
+	partsFrom := make(map[realm.Instance]int)
 	for len(moves) < max(minBalanceMoves, len(s.ready)/ownersPerMove) && sources.Len() > 0 {
 		nextOwner := targets.instances[0]
 		isEmpty := s.load[nextOwner] == 0
@@ -73,20 +73,20 @@
 			break
 		}
 		move, ok := s.pickKeys(owned[source], source, nextOwner, s.wanted(source, nextOwner, isEmpty), isMoving)
-		if !ok || movesFrom[source] >= maxMovesFromOne || source == nextOwner {
+		if !ok || partsFrom[source] >= maxPartsFromOne || source == nextOwner {
 			heap.Pop(sources)
 			continue
 		}
 		weight := weightOf(s.weights, move.Keys)
 		s.load[source] -= weight
 		s.load[nextOwner] += weight
-		movesFrom[source]++
+		partsFrom[source]++
 		owned[source] = owned[source].Cut(move.Keys)
 		moves = append(moves, move)
 		heap.Init(sources)
 		heap.Fix(targets, 0)
 	}
-	return moves
+	return joined(moves)
 }
 
 // isOverloaded reports whether the level of an upstream is clearly above the mean. With many upstreams each has a few
@@ -126,7 +126,7 @@
 		if isMoving(keys) {
 			return
 		}
-		move := Move{Keys: keys, Owner: source, FencingToken: r.FencingToken, NextOwner: nextOwner}
+		move := newMove(keys, source, r.FencingToken, nextOwner)
 		if weight <= 1.2*want && weight > bestWeight {
 			best, bestWeight = move, weight
 		}
--- a/internal/keyed/loads.go
+++ b/internal/keyed/loads.go
@@ -94,8 +94,8 @@
 	return total / observed * math.Ln2 / halfLife.Seconds()
 }
 
-// firstInterval is the time that the first counts are assumed to cover: hosts report every second.
-const firstInterval = time.Second
+// firstInterval is the time that the first counts are assumed to cover: hosts report every half second.
+const firstInterval = 500 * time.Millisecond
 
 // total returns the number of requests that have been counted, the older ones in part.
 func (l *Loads) total() float64 {
--- a/internal/keyed/pacer.go
+++ b/internal/keyed/pacer.go
@@ -2,9 +2,20 @@
 
 import "time"
 
-// MinGrantInterval is the least time between two grants of a leader. The first grant to an owner costs a connection, a
-// call and a part of an entry of the log: 1.5 ms on a quarter of a core.
-const MinGrantInterval = 1550 * time.Microsecond
+// The first grant to an owner costs a connection, a call and a part of an entry of the log: grantWork of one core, by
+// measurement on the platform's smallest control hosts.
+const (
+	grantWork        = 370 * time.Microsecond
+	defaultProcessor = 0.24 // share of a core that is assumed if the settings don't tell it
+)
+
+// GrantInterval returns the least time between two grants of a leader with a share of a core.
+func GrantInterval(processor float64) time.Duration {
+	if processor <= 0 {
+		processor = defaultProcessor
+	}
+	return time.Duration(float64(grantWork) / min(processor, 1))
+}
 
 // Pacer spreads calls to the owners of keys that are due in the same moment: all first calls of a leader's tenure, or
 // those to the next owners after the loss of a zone. Without it, on a host with a part of a core, the messages of the
--- a/internal/keyed/pacer_test.go
+++ b/internal/keyed/pacer_test.go
@@ -31,7 +31,7 @@
 		over       = 600 * time.Millisecond
 	)
 	now := time.Unix(1000, 0)
-	pacer := NewPacer(MinGrantInterval)
+	pacer := NewPacer(GrantInterval(0.24))
 	paced, atOnce := make([]time.Duration, owners), make([]time.Duration, owners)
 	for i := range paced {
 		paced[i] = pacer.Delay(now)
@@ -54,7 +54,7 @@
 		renewInterval = 2 * time.Second
 	)
 	now := time.Unix(1000, 0)
-	pacer := NewPacer(MinGrantInterval)
+	pacer := NewPacer(GrantInterval(0.48))
 	starts := make([]time.Duration, owners+2*lostOwners)
 	for i := range starts {
 		starts[i] = pacer.Delay(now)
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -13,10 +13,10 @@
 const (
 	overloadedRatio  = 1.3                    // an upstream with at least this multiple of the mean level is a source
 	underloadedRatio = 0.9                    // an upstream with at most this share of the mean level gets keys
-	balanceInterval  = 500 * time.Millisecond // least time between two rounds of rebalancing in one service
+	balanceInterval  = 500 * time.Millisecond // least time between two rounds of rebalancing in one service, half of it with many upstreams
 	minBalanceMoves  = 3                      // most moves in one round for few upstreams: requests for keys that move have to wait
 	ownersPerMove    = 8                      // with many upstreams, one move in a round for each of this many
-	maxMovesFromOne  = 16                     // moves from one upstream in a round
+	maxPartsFromOne  = 64                     // parts that leave one upstream in a round
 	maxNewOwners     = 4                      // upstreams among which one range of a lost or drained upstream is split
 	minMoveLoad      = 0.1                    // least load that a move carries, as a share of the mean level
 )
@@ -34,12 +34,38 @@
 	ReleaseIsImmediate bool          // keys that it releases can be reassigned at once
 }
 
-// Move transfers keys from an owner that can release them to another upstream.
+// Move transfers keys from an owner that can release them to other upstreams. The owner releases all of them in one call.
 type Move struct {
 	Keys         realm.KeyRange
 	Owner        realm.Instance
 	FencingToken uint64
-	NextOwner    realm.Instance
+	Parts        []Part // cover the keys, in their order
+}
+
+// Part is the part of a move that goes to one upstream.
+type Part struct {
+	Keys      realm.KeyRange
+	NextOwner realm.Instance
+}
+
+func newMove(keys realm.KeyRange, owner realm.Instance, token uint64, nextOwner realm.Instance) Move {
+	return Move{Keys: keys, Owner: owner, FencingToken: token, Parts: []Part{{keys, nextOwner}}}
+}
+
+// joined returns the moves with those joined whose keys are adjacent and have the same owner and token. A busy upstream
+// takes few calls, and each waits for its running work.
+func joined(moves []Move) []Move {
+	slices.SortFunc(moves, func(a, b Move) int { return int(a.Keys.From) - int(b.Keys.From) })
+	var all []Move
+	for _, m := range moves {
+		if n := len(all); n > 0 && all[n-1].Owner == m.Owner && all[n-1].FencingToken == m.FencingToken && int(all[n-1].Keys.To)+1 == int(m.Keys.From) {
+			all[n-1].Keys.To = m.Keys.To
+			all[n-1].Parts = append(all[n-1].Parts, m.Parts...)
+			continue
+		}
+		all = append(all, m)
+	}
+	return all
 }
 
 // Plan is a set of ownership changes for one service.
@@ -114,16 +140,25 @@
 		case u.IsDraining:
 			nextOwner := s.leastLoaded()
 			s.load[nextOwner] += weightOf(s.weights, r.KeyRange)
-			plan.Moves = append(plan.Moves, Move{r.KeyRange, r.Owner, r.FencingToken, nextOwner})
+			plan.Moves = append(plan.Moves, newMove(r.KeyRange, r.Owner, r.FencingToken, nextOwner))
 		}
 	}
-	if len(plan.Assignments) == 0 && len(plan.Moves) == 0 && now.Sub(p.balancedAt) >= balanceInterval {
+	if len(plan.Assignments) == 0 && len(plan.Moves) == 0 && now.Sub(p.balancedAt) >= s.balanceInterval() {
 		p.balancedAt = now
 		plan.Moves = p.balance(s, ranges, isMoving)
 	}
 	return plan
 }
 
+// balanceInterval returns the least time between two rounds of rebalancing. With many upstreams a round moves a part of
+// what is needed only.
+func (s *planState) balanceInterval() time.Duration {
+	if len(s.ready) > maxCoarseOwners {
+		return balanceInterval / 2
+	}
+	return balanceInterval
+}
+
 func newPlanState(ranges realm.Ranges, upstreams []Upstream, loads *Loads) *planState {
 	s := &planState{
 		total: loads.total(), capacity: make(map[realm.Instance]float64, len(upstreams)),
--- a/internal/keyed/plan_test.go
+++ b/internal/keyed/plan_test.go
@@ -141,7 +141,7 @@
 	is.Equal(plan.Moves[0].Owner.ID, "a")
 	plan = NewPlanner("s").Plan(start, equalRanges("b", "c"), readyUpstreams("b", "c", "new"), &Loads{}, grantsExpired, noneMoving)
 	is.True(len(plan.Moves) > 0)
-	is.Equal(plan.Moves[0].NextOwner.ID, "new")
+	is.Equal(plan.Moves[0].Parts[0].NextOwner.ID, "new")
 }
 
 // Rebalancing moves no keys while a grant without a known outcome may still take effect after their release.
@@ -187,7 +187,9 @@
 		plan := planner.Plan(start.Add(time.Duration(round)*time.Second), ranges, upstreams, &loads, nil, noneMoving)
 		for _, m := range plan.Moves {
 			moved += m.Keys.Size()
-			ranges = ranges.Put(realm.Range{KeyRange: m.Keys, Owner: m.NextOwner, FencingToken: uint64(100 + round), Active: true})
+			for _, part := range m.Parts {
+				ranges = ranges.Put(realm.Range{KeyRange: part.Keys, Owner: part.NextOwner, FencingToken: uint64(100 + round), Active: true})
+			}
 		}
 	}
 	after := newPlanState(ranges, upstreams, &loads).highestLevel()
--- a/internal/keyed/scale_test.go
+++ b/internal/keyed/scale_test.go
@@ -105,7 +105,9 @@
 		for len(pending) > 0 && !pending[0].at.After(now) {
 			m := pending[0].move
 			pending = pending[1:]
-			ranges = ranges.Put(realm.Range{KeyRange: m.Keys, Owner: m.NextOwner, FencingToken: uint64(since), Active: true})
+			for _, part := range m.Parts {
+				ranges = ranges.Put(realm.Range{KeyRange: part.Keys, Owner: part.NextOwner, FencingToken: uint64(since), Active: true})
+			}
 		}
 		if withPlanner {
 			isMoving := func(keys realm.KeyRange) bool {
--- a/internal/keyed/times.go
+++ b/internal/keyed/times.go
@@ -10,7 +10,7 @@
 const (
 	minSpeed     = 0.25
 	maxSpeed     = 2.0
-	newestWeight = 0.3 // weight of the newest report in the average; each host reports once a second
+	newestWeight = 0.3 // weight of the newest report in the average; each host reports every four seconds
 )
 
 // ServiceTimes is the average service time of each upstream: the latency of a request that does not queue there.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -19,7 +19,8 @@
 	ReadinessAddress netip.AddrPort // listening address for the load balancer's readiness checks
 	Control          netip.AddrPort // listening address for upstreams and operators
 
-	Memory      int64 // bytes
+	Processor   float64 // share of one core that the process gets, 0 if the settings don't say
+	Memory      int64   // bytes
 	Descriptors int
 	Bounds      Bounds
 }
