--- a/internal/keyed/balance.go
+++ b/internal/keyed/balance.go
@@ -77,7 +77,7 @@
 			heap.Pop(sources)
 			continue
 		}
-		weight := weightOf(s.weights, move.Keys)
+		weight := s.weights.of(move.Keys)
 		s.load[source] -= weight
 		s.load[nextOwner] += weight
 		partsFrom[source]++
@@ -122,7 +122,7 @@
 	var best, least Move
 	bestWeight, leastWeight := 0.0, math.Inf(1)
 	consider := func(r realm.Range, keys realm.KeyRange) {
-		weight := weightOf(s.weights, keys)
+		weight := s.weights.of(keys)
 		if isMoving(keys) {
 			return
 		}
@@ -135,15 +135,15 @@
 		}
 	}
 	for _, r := range owned {
-		total := weightOf(s.weights, r.KeyRange)
+		total := s.weights.of(r.KeyRange)
 		if total <= want {
 			consider(r, r.KeyRange)
 			continue
 		}
 		low := r.KeyRange
-		low.To = splitKey(s.weights, r.KeyRange, want)
+		low.To = s.weights.splitKey(r.KeyRange, want)
 		consider(r, low)
-		if split := splitKey(s.weights, r.KeyRange, total-want); split < r.To {
+		if split := s.weights.splitKey(r.KeyRange, total-want); split < r.To {
 			consider(r, realm.KeyRange{From: split + 1, To: r.To})
 		}
 	}
--- a/internal/keyed/loads.go
+++ b/internal/keyed/loads.go
@@ -67,22 +67,27 @@
 }
 
 // current returns the count of some neighbouring buckets: the decaying one, or, if the recent requests show that the
-// load has changed, what their rate would come to.
-func (l *Loads) current(first, last int) float64 {
+// load has changed, what their rate would come to. Both counts cover the same requests with other weights; ratio is that
+// of the recent count to the other one for a constant rate.
+func (l *Loads) current(first, last int, ratio float64) float64 {
 	count, recent := 0.0, 0.0
 	for i := first; i < last; i++ {
 		count += l.counts[i]
 		recent += l.recent[i]
 	}
-	const ratio = float64(halfLife) / float64(surgeHalfLife)
-	observed := 1 - math.Exp2(-float64(l.updatedAt.Sub(l.startedAt)+firstInterval)/float64(halfLife))
-	expected := count / observed / ratio
+	expected := count * ratio
 	if math.Abs(recent-expected) > surgeDeviations*math.Sqrt(expected+1) {
-		return recent * ratio * observed
+		return recent / ratio
 	}
 	return count
 }
 
+// weightOfPast returns the time that the decaying counts with a half-life stand for, but for a constant factor.
+func (l *Loads) weightOfPast(halfLife time.Duration) float64 {
+	observed := 1 - math.Exp2(-float64(l.updatedAt.Sub(l.startedAt)+firstInterval)/float64(halfLife))
+	return observed * float64(halfLife)
+}
+
 // Rate returns the recent rate in requests per second, 0 if there are too few counts for an estimate.
 func (l *Loads) Rate(now time.Time) float64 {
 	total := l.total()
@@ -90,8 +95,7 @@
 		return 0 // too few counts for an estimate
 	}
 	total *= math.Exp2(-float64(now.Sub(l.updatedAt)) / float64(halfLife))
-	observed := 1 - math.Exp2(-float64(l.updatedAt.Sub(l.startedAt)+firstInterval)/float64(halfLife))
-	return total / observed * math.Ln2 / halfLife.Seconds()
+	return total * math.Ln2 / l.weightOfPast(halfLife) * float64(time.Second)
 }
 
 // firstInterval is the time that the first counts are assumed to cover: hosts report every half second.
@@ -106,50 +110,57 @@
 	return total
 }
 
-// weights returns the load of each bucket as a share of the total, for a number of owners.
-func (l *Loads) weights(owners int) *[Buckets]float64 {
+// weights is the load of equal parts of the key space, as shares of the total.
+type weights struct {
+	shares      []float64
+	keysPerPart int
+}
+
+// weightsFor returns the weights for a number of owners.
+func (l *Loads) weightsFor(owners int) *weights {
 	joined := 1
 	if owners <= maxCoarseOwners {
 		joined = joinedBuckets
 	}
-	weights := new([Buckets]float64)
+	w := &weights{shares: make([]float64, Buckets/joined), keysPerPart: keysPerBucket * joined}
 	total := 0.0
-	for first := 0; first < Buckets; first += joined {
-		count := l.current(first, first+joined) / float64(joined)
-		for i := first; i < first+joined; i++ {
-			weights[i] = count
-			total += count
+	if !l.updatedAt.IsZero() {
+		ratio := l.weightOfPast(surgeHalfLife) / l.weightOfPast(halfLife)
+		for i := range w.shares {
+			w.shares[i] = l.current(i*joined, (i+1)*joined, ratio)
+			total += w.shares[i]
 		}
 	}
-	idle := idleShare * total / Buckets
+	parts := float64(len(w.shares))
+	idle := idleShare * total / parts
 	if total == 0 {
 		idle = 1
 	}
-	for i := range weights {
-		weights[i] = (weights[i] + idle) / (total + idle*Buckets)
+	for i := range w.shares {
+		w.shares[i] = (w.shares[i] + idle) / (total + idle*parts)
 	}
-	return weights
+	return w
 }
 
-// weightOf returns the load of a range as a share of the total; within a bucket all keys weigh the same.
-func weightOf(weights *[Buckets]float64, keys realm.KeyRange) float64 {
+// of returns the load of a range as a share of the total; within a part all keys weigh the same.
+func (w *weights) of(keys realm.KeyRange) float64 {
 	sum := 0.0
-	for i := Bucket(keys.From); i <= Bucket(keys.To); i++ {
-		from := max(i*keysPerBucket, int(keys.From))
-		to := min((i+1)*keysPerBucket-1, int(keys.To))
-		sum += weights[i] * float64(to-from+1) / keysPerBucket
+	for i := int(keys.From) / w.keysPerPart; i <= int(keys.To)/w.keysPerPart; i++ {
+		from := max(i*w.keysPerPart, int(keys.From))
+		to := min((i+1)*w.keysPerPart-1, int(keys.To))
+		sum += w.shares[i] * float64(to-from+1) / float64(w.keysPerPart)
 	}
 	return sum
 }
 
 // splitKey returns the key at which to split a range so that the part up to and including that key has about the given
 // weight. The part has at least one key.
-func splitKey(weights *[Buckets]float64, keys realm.KeyRange, weight float64) uint16 {
+func (w *weights) splitKey(keys realm.KeyRange, weight float64) uint16 {
 	sum := 0.0
-	for i := Bucket(keys.From); i <= Bucket(keys.To); i++ {
-		from := max(i*keysPerBucket, int(keys.From))
-		to := min((i+1)*keysPerBucket-1, int(keys.To))
-		share := weights[i] * float64(to-from+1) / keysPerBucket
+	for i := int(keys.From) / w.keysPerPart; i <= int(keys.To)/w.keysPerPart; i++ {
+		from := max(i*w.keysPerPart, int(keys.From))
+		to := min((i+1)*w.keysPerPart-1, int(keys.To))
+		share := w.shares[i] * float64(to-from+1) / float64(w.keysPerPart)
 		if sum+share >= weight {
 			count := 1
 			if share > 0 {
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -88,7 +88,7 @@
 
 // planState is the working state of one call of Plan.
 type planState struct {
-	weights    *[Buckets]float64
+	weights    *weights
 	total      float64 // requests that the weights are based on
 	ready      []realm.Instance
 	releasable map[realm.Instance]bool
@@ -127,7 +127,7 @@
 		case !isRegistered:
 			// A grant to the previous instance may still be in flight, and may reach its successor.
 			if next, ok := s.successor(r.Owner); ok {
-				s.load[next] += weightOf(s.weights, r.KeyRange)
+				s.load[next] += s.weights.of(r.KeyRange)
 				plan.Assignments = append(plan.Assignments, realm.Assignment{Service: p.service, Keys: r.KeyRange, Owner: next, ExpectedToken: r.FencingToken})
 			} else if grantsExpired(r.Owner) {
 				plan.Assignments = append(plan.Assignments, p.distribute(s, r.KeyRange, r.FencingToken, maxNewOwners)...)
@@ -139,7 +139,7 @@
 			}
 		case u.IsDraining:
 			nextOwner := s.leastLoaded()
-			s.load[nextOwner] += weightOf(s.weights, r.KeyRange)
+			s.load[nextOwner] += s.weights.of(r.KeyRange)
 			plan.Moves = append(plan.Moves, newMove(r.KeyRange, r.Owner, r.FencingToken, nextOwner))
 		}
 	}
@@ -173,9 +173,9 @@
 			totalCapacity += s.capacity[u.Instance]
 		}
 	}
-	s.weights = loads.weights(len(s.ready))
+	s.weights = loads.weightsFor(len(s.ready))
 	for _, r := range ranges {
-		weight := weightOf(s.weights, r.KeyRange)
+		weight := s.weights.of(r.KeyRange)
 		s.load[r.Owner] += weight
 		total += weight
 	}
@@ -213,16 +213,16 @@
 
 // distribute splits a range into parts of about equal load and assigns each part to the upstream with the lowest level.
 func (p *Planner) distribute(s *planState, keys realm.KeyRange, expectedToken uint64, parts int) []realm.Assignment {
-	weight := weightOf(s.weights, keys)
+	weight := s.weights.of(keys)
 	parts = max(1, min(parts, len(s.ready), keys.Size()))
 	var assignments []realm.Assignment
 	for left := parts; left > 0; left-- {
 		part := keys
 		if left > 1 {
-			part.To = min(splitKey(s.weights, keys, weight/float64(parts)), keys.To-uint16(left-1))
+			part.To = min(s.weights.splitKey(keys, weight/float64(parts)), keys.To-uint16(left-1))
 		}
 		nextOwner := s.leastLoaded()
-		s.load[nextOwner] += weightOf(s.weights, part)
+		s.load[nextOwner] += s.weights.of(part)
 		assignments = append(assignments, realm.Assignment{Service: p.service, Keys: part, Owner: nextOwner, ExpectedToken: expectedToken})
 		if part.To == keys.To {
 			break
