Weigh service times by the number of requests, and let new upstreams warm up before keys move to them

Change: the weight of a report follows its number of requests; an upstream that says how long it is still slow gets keys of others after that only, unless there are no others.

--- a/internal/core/instances.go
+++ b/internal/core/instances.go
@@ -10,8 +10,8 @@
 // trackInstances records new instances, and adds to the command the instances that are lost, gone or to be forgotten.
 func (k *keyManager) trackInstances(now time.Time, upstreams []*realm.Upstream, command *realm.Command) {
 	for _, u := range upstreams {
-		if !k.seen[u.Instance] {
-			k.seen[u.Instance] = true
+		if k.seen[u.Instance].IsZero() {
+			k.seen[u.Instance] = now
 			k.lastJoin = now
 			k.host.forgetServiceTime(u.ID)
 			k.recordPredecessors(u)
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -46,8 +46,8 @@
 	planners     map[string]*keyed.Planner
 	tasks        map[realm.Instance]*grantTask
 	moving       map[movingRange]bool
-	lastJoin     time.Time // when a new instance of an upstream last appeared
-	seen         map[realm.Instance]bool
+	lastJoin     time.Time                    // when a new instance of an upstream last appeared
+	seen         map[realm.Instance]time.Time // when an instance was first seen
 	latestAt     map[string]realm.Instance    // the latest instance at each id and each address
 	goneSince    map[realm.Instance]time.Time // when an instance was first seen in phase Gone
 	unresponsive map[realm.Instance]bool      // instances that acknowledge no grants, so that their keys go to others
@@ -102,7 +102,7 @@
 		host: h, client: h.newClient(), ballot: status.Ballot, firstIndex: status.Commit, startTime: now, lastJoin: now,
 		terms:    keyed.Terms{TTL: min(grantTTL, h.site.Bounds.MaxGrantTTL), RenewInterval: renewInterval, CallTimeout: grantTimeout},
 		planners: make(map[string]*keyed.Planner), tasks: make(map[realm.Instance]*grantTask),
-		moving: make(map[movingRange]bool), seen: make(map[realm.Instance]bool), latestAt: make(map[string]realm.Instance), goneSince: make(map[realm.Instance]time.Time),
+		moving: make(map[movingRange]bool), seen: make(map[realm.Instance]time.Time), latestAt: make(map[string]realm.Instance), goneSince: make(map[realm.Instance]time.Time),
 		unresponsive: make(map[realm.Instance]bool), activations: newActivations(),
 	}
 	owners := h.owners()
@@ -233,6 +233,7 @@
 		upstreams = append(upstreams, keyed.Upstream{
 			Instance: u.Instance, Zone: u.Zone, Capacity: keyed.Capacity(float64(u.Concurrency), speeds[u.ID], bias), Failing: failing,
 			IsReady:            u.Phase == realm.Ready && failing == 0 && now.Sub(lastHeartbeat) < k.host.lostAfter(),
+			IsWarming:          k.seen[u.Instance].After(k.startTime) && now.Sub(k.seen[u.Instance]) < u.WarmFor,
 			IsEnded:            u.Ended,
 			IsUnresponsive:     isUnresponsive,
 			ReleaseIsImmediate: k.tracker.ReleaseIsImmediate(now, u.Instance),
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -2,16 +2,18 @@
 
 import (
 	"context"
-	"maps"
 	"time"
+
+	"lovagelink.example/lovagelink/internal/keyed"
 )
 
 // Report holds the counts of an entry host since its last report. A control host that does not lead joins those of the
 // entry hosts that report to it.
 type Report struct {
-	Loads      map[string]map[int]int   `json:"key-loads,omitempty"`   // number of requests by service and bucket of keys
-	Latencies  map[string]time.Duration `json:"took,omitempty"`        // service time by upstream id; only upstreams without a queue
-	EntryHosts []string                 `json:"entry-hosts,omitempty"` // names of the entry hosts; empty in an entry host's own report
+	Loads map[string]map[int]int `json:"key-loads,omitempty"` // number of requests by service and bucket of keys
+	// ServiceTimes are by upstream id, of requests after which the upstream had nothing queued.
+	ServiceTimes map[string]keyed.ServiceTime `json:"service-times,omitempty"`
+	EntryHosts   []string                     `json:"entry-hosts,omitempty"` // names of the entry hosts; empty in an entry host's own report
 }
 
 // ReportReply holds the number of entry hosts, which divide the limits of the deployment among them.
@@ -24,7 +26,7 @@
 // add adds another report to r.
 func (r *Report) add(other Report) {
 	if r.Loads == nil {
-		r.Loads, r.Latencies = make(map[string]map[int]int), make(map[string]time.Duration)
+		r.Loads, r.ServiceTimes = make(map[string]map[int]int), make(map[string]keyed.ServiceTime)
 	}
 	for service, counts := range other.Loads {
 		sum := r.Loads[service]
@@ -36,7 +38,9 @@
 			sum[bucket] += count
 		}
 	}
-	maps.Copy(r.Latencies, other.Latencies)
+	for id, measured := range other.ServiceTimes {
+		r.ServiceTimes[id] = r.ServiceTimes[id].Plus(measured)
+	}
 	r.EntryHosts = append(r.EntryHosts, other.EntryHosts...)
 }
 
@@ -70,8 +74,8 @@
 	for service, counts := range report.Loads {
 		h.loadsOf(service).Add(now, counts)
 	}
-	for id, latency := range report.Latencies {
-		h.serviceTimes.Add(id, latency)
+	for id, measured := range report.ServiceTimes {
+		h.serviceTimes.Add(id, measured)
 	}
 }
 
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -7,6 +7,7 @@
 
 	"lovagelink.example/lovagelink/internal/admit"
 	"lovagelink.example/lovagelink/internal/core"
+	"lovagelink.example/lovagelink/internal/keyed"
 	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/realm"
@@ -194,12 +195,12 @@
 func (f *Front) takeCounts(withLatencies bool) core.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	report := core.Report{Loads: f.keyCounts, Latencies: make(map[string]time.Duration)}
+	report := core.Report{Loads: f.keyCounts, ServiceTimes: make(map[string]keyed.ServiceTime)}
 	f.keyCounts = make(map[string]map[int]int)
 	if withLatencies {
 		for instance, u := range f.upstreams {
-			if latency := u.takeServiceTime(); latency > 0 {
-				report.Latencies[instance.ID] = latency.Round(time.Millisecond)
+			if measured := u.takeServiceTime(); measured.Samples > 0 {
+				report.ServiceTimes[instance.ID] = measured
 			}
 		}
 	}
--- a/internal/front/leavers.go
+++ b/internal/front/leavers.go
@@ -19,13 +19,12 @@
 func (f *Front) reportLeavers() error {
 	ctx := f.tomb.Context(context.Background())
 	pending := make(map[realm.Instance]bool)
-	retry := time.NewTicker(leaversRetryInterval)
-	defer retry.Stop()
+	var retry <-chan time.Time // nil while nothing waits
 	for {
 		select {
 		case instance := <-f.leavers:
 			pending[instance] = true
-		case <-retry.C:
+		case <-retry:
 		case <-ctx.Done():
 			return nil
 		}
@@ -38,8 +37,13 @@
 			}
 			report.Instances = append(report.Instances, instance)
 		}
+		retry = nil
+		if len(report.Instances) == 0 {
+			continue
+		}
+		retry = time.After(leaversRetryInterval)
 		target, _ := f.followed.Load().(string)
-		if len(report.Instances) == 0 || target == "" {
+		if target == "" {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -9,6 +9,7 @@
 	"lovagelink.example/lovagelink/internal/admit"
 	"lovagelink.example/lovagelink/internal/calls"
 	"lovagelink.example/lovagelink/internal/http1"
+	"lovagelink.example/lovagelink/internal/keyed"
 	"lovagelink.example/lovagelink/internal/realm"
 )
 
@@ -24,8 +25,7 @@
 	timer   *time.Timer // fires when the next delayed request may start
 	closed  bool
 
-	unqueuedTime  time.Duration // latency since the last report of requests after which the upstream had nothing queued
-	unqueuedCount int
+	unqueued keyed.ServiceTime // since the last report, of requests after which the upstream had nothing queued
 
 	missingToken uint64 // fencing token of a range that the upstream reported not to own
 	missingCount int
@@ -127,8 +127,7 @@
 	defer u.mu.Unlock()
 	u.limiter.OnResponse(now, latency, info.Load, info.HasLoad)
 	if info.HasLoad && info.Load.Waiting == 0 {
-		u.unqueuedTime += latency
-		u.unqueuedCount++
+		u.unqueued = u.unqueued.Plus(keyed.ServiceTime{Total: latency.Round(time.Millisecond), Samples: 1})
 	}
 	u.missingCount = 0
 	if isSuccess {
@@ -177,17 +176,14 @@
 	u.startWaiters(now)
 }
 
-// takeServiceTime returns and resets the mean latency of those requests since its last call after which nothing was
-// queued at the upstream. It returns 0 if there were none.
-func (u *upstream) takeServiceTime() time.Duration {
+// takeServiceTime returns and resets the latencies of those requests since its last call after which nothing was queued
+// at the upstream.
+func (u *upstream) takeServiceTime() keyed.ServiceTime {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.unqueuedCount == 0 {
-		return 0
-	}
-	latency := u.unqueuedTime / time.Duration(u.unqueuedCount)
-	u.unqueuedTime, u.unqueuedCount = 0, 0
-	return latency
+	measured := u.unqueued
+	u.unqueued = keyed.ServiceTime{}
+	return measured
 }
 
 // busy returns how many requests are in flight to the upstream and how many are queued on this host.
--- a/internal/keyed/balance.go
+++ b/internal/keyed/balance.go
@@ -60,7 +60,7 @@
 	}
 	// If grants to a source may still be applied late, its keys would wait for their next owner for seconds.
 	sources := s.newHeap(slices.DeleteFunc(slices.Clone(s.ready), func(i realm.Instance) bool { return !s.releasable[i] }), true)
-	targets := s.newHeap(s.ready, false)
+	targets := s.newHeap(s.warm, false)
 	partsFrom := make(map[realm.Instance]int)
 	for len(moves) < max(minBalanceMoves, len(s.ready)/ownersPerMove) && sources.Len() > 0 {
 		nextOwner := targets.instances[0]
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -28,6 +28,7 @@
 	Failing            time.Duration // how long its grants have failed
 	Capacity           float64       // concurrent work that it can do: its slots, scaled by its speed
 	IsReady            bool          // it can be assigned keys
+	IsWarming          bool          // it is slow after its start, so that it gets keys only if there is no other
 	IsEnded            bool          // its process has ended, since another upstream has its address; it has no grants
 	IsUnresponsive     bool          // it acknowledges no grants; its keys are reassigned once its grants have expired
 	IsDraining         bool          // it is shutting down, and its keys move to others
@@ -91,6 +92,7 @@
 	weights    *weights
 	total      float64 // requests that the weights are based on
 	ready      []realm.Instance
+	warm       []realm.Instance // the ready ones that are not warming, or all if there are no others
 	releasable map[realm.Instance]bool
 	capacity   map[realm.Instance]float64
 	load       map[realm.Instance]float64
@@ -115,7 +117,7 @@
 		byInstance[u.Instance] = u
 	}
 	for _, gap := range ranges.Gaps() {
-		plan.Assignments = append(plan.Assignments, p.distribute(s, gap, 0, len(s.ready))...)
+		plan.Assignments = append(plan.Assignments, p.distribute(s, s.ready, gap, 0, len(s.ready))...)
 	}
 	for _, r := range ranges {
 		u, isRegistered := byInstance[r.Owner]
@@ -123,22 +125,22 @@
 		case isMoving(r.KeyRange):
 		case u.IsEnded:
 			// Another upstream has the owner's address, and refuses grants that were sent to the owner.
-			plan.Assignments = append(plan.Assignments, p.distribute(s, r.KeyRange, r.FencingToken, maxNewOwners)...)
+			plan.Assignments = append(plan.Assignments, p.distribute(s, s.warm, r.KeyRange, r.FencingToken, maxNewOwners)...)
 		case !isRegistered:
 			// A grant to the previous instance may still be in flight, and may reach its successor.
 			if next, ok := s.successor(r.Owner); ok {
 				s.load[next] += s.weights.of(r.KeyRange)
 				plan.Assignments = append(plan.Assignments, realm.Assignment{Service: p.service, Keys: r.KeyRange, Owner: next, ExpectedToken: r.FencingToken})
 			} else if grantsExpired(r.Owner) {
-				plan.Assignments = append(plan.Assignments, p.distribute(s, r.KeyRange, r.FencingToken, maxNewOwners)...)
+				plan.Assignments = append(plan.Assignments, p.distribute(s, s.warm, r.KeyRange, r.FencingToken, maxNewOwners)...)
 			}
 		case u.IsUnresponsive && p.keepsKeys(now, u):
 		case u.IsUnresponsive || u.IsDraining && grantsExpired(r.Owner):
 			if grantsExpired(r.Owner) {
-				plan.Assignments = append(plan.Assignments, p.distribute(s, r.KeyRange, r.FencingToken, maxNewOwners)...)
+				plan.Assignments = append(plan.Assignments, p.distribute(s, s.warm, r.KeyRange, r.FencingToken, maxNewOwners)...)
 			}
 		case u.IsDraining:
-			nextOwner := s.leastLoaded()
+			nextOwner := s.leastLoaded(s.warm)
 			s.load[nextOwner] += s.weights.of(r.KeyRange)
 			plan.Moves = append(plan.Moves, newMove(r.KeyRange, r.Owner, r.FencingToken, nextOwner))
 		}
@@ -168,6 +170,9 @@
 	for _, u := range upstreams {
 		if u.IsReady {
 			s.ready = append(s.ready, u.Instance)
+			if !u.IsWarming {
+				s.warm = append(s.warm, u.Instance)
+			}
 			s.releasable[u.Instance] = u.ReleaseIsImmediate
 			s.capacity[u.Instance] = max(minCapacity, u.Capacity)
 			totalCapacity += s.capacity[u.Instance]
@@ -179,6 +184,9 @@
 		s.load[r.Owner] += weight
 		total += weight
 	}
+	if len(s.warm) == 0 {
+		s.warm = s.ready
+	}
 	if totalCapacity > 0 {
 		s.meanLevel = total / totalCapacity
 	}
@@ -204,24 +212,25 @@
 	return s.load[instance] / s.capacity[instance]
 }
 
-// leastLoaded returns the ready upstream with the lowest level, and of equals the first by id.
-func (s *planState) leastLoaded() realm.Instance {
-	return slices.MinFunc(s.ready, func(a, b realm.Instance) int {
+// leastLoaded returns the upstream with the lowest level, and of equals the first by id.
+func (s *planState) leastLoaded(upstreams []realm.Instance) realm.Instance {
+	return slices.MinFunc(upstreams, func(a, b realm.Instance) int {
 		return cmp.Or(cmp.Compare(s.level(a), s.level(b)), cmp.Compare(a.ID, b.ID))
 	})
 }
 
-// distribute splits a range into parts of about equal load and assigns each part to the upstream with the lowest level.
-func (p *Planner) distribute(s *planState, keys realm.KeyRange, expectedToken uint64, parts int) []realm.Assignment {
+// distribute splits a range into parts of about equal load and assigns each part to that of the upstreams with the lowest
+// level.
+func (p *Planner) distribute(s *planState, upstreams []realm.Instance, keys realm.KeyRange, expectedToken uint64, parts int) []realm.Assignment {
 	weight := s.weights.of(keys)
-	parts = max(1, min(parts, len(s.ready), keys.Size()))
+	parts = max(1, min(parts, len(upstreams), keys.Size()))
 	var assignments []realm.Assignment
 	for left := parts; left > 0; left-- {
 		part := keys
 		if left > 1 {
 			part.To = min(s.weights.splitKey(keys, weight/float64(parts)), keys.To-uint16(left-1))
 		}
-		nextOwner := s.leastLoaded()
+		nextOwner := s.leastLoaded(upstreams)
 		s.load[nextOwner] += s.weights.of(part)
 		assignments = append(assignments, realm.Assignment{Service: p.service, Keys: part, Owner: nextOwner, ExpectedToken: expectedToken})
 		if part.To == keys.To {
--- a/internal/keyed/times.go
+++ b/internal/keyed/times.go
@@ -1,6 +1,7 @@
 package keyed
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,11 +9,25 @@
 // Speeds are relative to the median upstream and bounded, since an upstream that seems much slower or faster than the
 // others may only have received different requests.
 const (
-	minSpeed     = 0.25
-	maxSpeed     = 2.0
-	newestWeight = 0.3 // weight of the newest report in the average; each host reports every four seconds
+	minSpeed = 0.25
+	maxSpeed = 2.0
+	// newestWeight is the weight of a report of usualSamples requests in the average. One request alone tells little: its
+	// work may be five times the usual.
+	newestWeight = 0.3
+	usualSamples = 10
 )
 
+// ServiceTime is what hosts have measured of an upstream.
+type ServiceTime struct {
+	Total   time.Duration `json:"total"`
+	Samples int           `json:"samples"`
+}
+
+// Plus returns the measurements of both.
+func (t ServiceTime) Plus(other ServiceTime) ServiceTime {
+	return ServiceTime{t.Total + other.Total, t.Samples + other.Samples}
+}
+
 // ServiceTimes is the average service time of each upstream: the latency of a request that does not queue there.
 type ServiceTimes struct {
 	byID map[string]time.Duration // by id of the upstream
@@ -23,13 +38,19 @@
 	return &ServiceTimes{byID: make(map[string]time.Duration)}
 }
 
-// Add adds a measured service time of an upstream to its average.
-func (s *ServiceTimes) Add(id string, serviceTime time.Duration) {
+// Add adds measurements of an upstream to its average. Their weight grows with their number: a host of hundreds sees an
+// upstream once in a while.
+func (s *ServiceTimes) Add(id string, measured ServiceTime) {
+	if measured.Samples <= 0 || measured.Total <= 0 {
+		return
+	}
+	mean := measured.Total / time.Duration(measured.Samples)
 	if s.byID[id] == 0 {
-		s.byID[id] = serviceTime
+		s.byID[id] = mean
 		return
 	}
-	s.byID[id] += time.Duration(newestWeight * float64(serviceTime-s.byID[id]))
+	weight := 1 - math.Pow(1-newestWeight, float64(measured.Samples)/usualSamples)
+	s.byID[id] += time.Duration(weight * float64(mean-s.byID[id]))
 }
 
 // Forget removes the average of an upstream, for example when another instance has started under its id.
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -16,12 +16,14 @@
 // Intervals and timeouts of connections between hosts.
 const (
 	pingInterval = 200 * time.Millisecond
-	pingTimeout  = 400 * time.Millisecond
-	ioTimeout    = 30 * time.Second // of one read or write; also ends incoming connections without traffic
-	idleTimeout  = 10 * time.Second // time without calls after which a connection is closed
-	dialTimeout  = 400 * time.Millisecond
-	redialDelay  = 50 * time.Millisecond
-	failureTTL   = time.Second // how long a host counts as unreachable after a failure
+	// checksPerDelay is how often within a longer ping delay a connection is checked: each check wakes the process.
+	checksPerDelay = 3
+	pingTimeout    = 400 * time.Millisecond
+	ioTimeout      = 30 * time.Second // of one read or write; also ends incoming connections without traffic
+	idleTimeout    = 10 * time.Second // time without calls after which a connection is closed
+	dialTimeout    = 400 * time.Millisecond
+	redialDelay    = 50 * time.Millisecond
+	failureTTL     = time.Second // how long a host counts as unreachable after a failure
 )
 
 // The errors of calls that could not be sent.
--- a/internal/peer/maintain.go
+++ b/internal/peer/maintain.go
@@ -44,7 +44,7 @@
 // monitor returns nil once the connection is idle or the endpoint stops, and an error once the connection is broken or
 // a ping gets no response.
 func (e *Endpoint) monitor(p *peerConn, conn *jsonrpc2.Conn) error {
-	ticker := time.NewTicker(pingInterval)
+	ticker := time.NewTicker(max(pingInterval, e.pingDelay/checksPerDelay))
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/realm/upstream.go
+++ b/internal/realm/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 )
 
 //go:generate go tool stringer -type Phase -linecomment
@@ -30,6 +31,7 @@
 	Address     netip.AddrPort `json:"address"`
 	Zone        string         `json:"zone"`
 	Concurrency int            `json:"slots"`
+	WarmFor     time.Duration  `json:"warm-for,omitempty"` // how long it remained slow after its start when it joined
 	Phase       Phase          `json:"phase"`
 	Ended       bool           `json:"ended,omitempty"` // another instance has its address, so its process has ended
 	Changed     uint64         `json:"changed"`         // log index of the last change
