Refuse entries of other writers that name no upstream of use

A number of slots that an earlier release has stored counts up to 10,000. The start is not compared with the clock, which may be wrong.

--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/realm"
 	"lovagelink.example/lovagelink/pkg/paxos"
@@ -51,6 +54,9 @@
 	if !h.hasLeaderContact(now) {
 		return ErrUnavailable
 	}
+	if err := h.checkHeartbeat(now, upstream); err != nil {
+		return err
+	}
 	if !h.mayRegister(upstream) {
 		_ = h.logger.Log("event", "heartbeat", "upstream", upstream.ID, "born", upstream.StartMillis, "outcome", "ignored",
 			"reason", "the configuration has no service of this name", "service", upstream.Service)
@@ -85,6 +91,17 @@
 	return nil
 }
 
+// checkHeartbeat refuses the address of a control host, which no upstream can have.
+func (h *Host) checkHeartbeat(now time.Time, upstream realm.Upstream) error {
+	for _, member := range h.controlHosts(now) {
+		peer, err := netip.ParseAddrPort(member.Name)
+		if err == nil && upstream.Address.Addr() == peer.Addr() && (upstream.Address.Port() == peer.Port() || upstream.Address.Port() == h.site.Control.Port()) {
+			return trace.BadParameter("address: %s is that of a control host", upstream.Address)
+		}
+	}
+	return nil
+}
+
 // mayRegister reports whether heartbeats of an upstream are processed: the upstream is registered already, the
 // configuration has its service, or there is no configuration yet. A heartbeat for any other service may come from
 // anybody, and must not replace the upstream that is registered at the same address.
--- a/internal/core/instances.go
+++ b/internal/core/instances.go
@@ -69,7 +69,7 @@
 	for _, u := range upstreams {
 		if u.Service == service && u.Phase == realm.Ready {
 			ids = append(ids, u.ID)
-			slots += u.Concurrency
+			slots += u.Slots()
 		}
 	}
 	h.mu.Lock()
@@ -78,7 +78,7 @@
 	capacity := 0.0
 	for _, u := range upstreams {
 		// The speed is 0 for upstreams of other services and those that are not ready.
-		capacity += float64(u.Concurrency) * speeds[u.ID]
+		capacity += float64(u.Slots()) * speeds[u.ID]
 	}
 	demand := h.loadsOf(service).Rate(now) * median.Seconds()
 	return speeds, keyed.Bias(demand, capacity, float64(slots)/float64(max(1, len(ids))))
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -231,7 +231,7 @@
 		isUnresponsive, failing := k.tracker.IsUnresponsive(now, u.Instance, lastHeartbeat), k.tracker.FailingFor(now, u.Instance)
 		k.logUnresponsive(now, u.Instance, isUnresponsive && !u.Ended, failing, lastHeartbeat)
 		upstreams = append(upstreams, keyed.Upstream{
-			Instance: u.Instance, Zone: u.Zone, Capacity: keyed.Capacity(float64(u.Concurrency), speeds[u.ID], bias), Failing: failing,
+			Instance: u.Instance, Zone: u.Zone, Capacity: keyed.Capacity(float64(u.Slots()), speeds[u.ID], bias), Failing: failing,
 			IsReady:            u.Phase == realm.Ready && failing == 0 && now.Sub(lastHeartbeat) < k.host.lostAfter(),
 			IsWarming:          k.seen[u.Instance].After(k.startTime) && now.Sub(k.seen[u.Instance]) < u.WarmFor,
 			IsEnded:            u.Ended,
--- a/internal/front/follow_test.go
+++ b/internal/front/follow_test.go
@@ -75,6 +75,10 @@
 		t.Fatal(err)
 	}
 	f := New(site.Host{Name: "front", Internal: 29301, Seeds: []netip.AddrPort{seed}}, frontEndpoint, nil, log.NewNopLogger())
+	f.tomb.Go(func() error { // so that Wait returns although the test has ended before start
+		<-f.tomb.Dying()
+		return nil
+	})
 	t.Cleanup(func() {
 		f.tomb.Kill(nil)
 		_ = f.tomb.Wait()
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -71,7 +71,7 @@
 }
 
 func newUpstream(registration realm.Upstream) *upstream {
-	return &upstream{registration: registration, limiter: admit.NewLimiter[*waiter](registration.Concurrency)}
+	return &upstream{registration: registration, limiter: admit.NewLimiter[*waiter](registration.Slots())}
 }
 
 // acquire waits until the limiter admits a request. It returns a refusal if the request can't be served in time, and
--- a/internal/realm/upstream.go
+++ b/internal/realm/upstream.go
@@ -36,3 +36,10 @@
 	Ended       bool           `json:"ended,omitempty"` // another instance has its address, so its process has ended
 	Changed     uint64         `json:"changed"`         // log index of the last change
 }
+
+// MaxConcurrency is the largest concurrency of an upstream that counts.
+const MaxConcurrency = 10_000
+
+// Slots returns the concurrency of the upstream within 1 and MaxConcurrency. The log may hold any number from earlier
+// releases, and one upstream with a very large one would be given all keys.
+func (u Upstream) Slots() int { return min(max(u.Concurrency, 1), MaxConcurrency) }
