--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo lint test race soak bench
+.PHONY: build demo lint test race soak bench regress
 
 # Tests that KNOWN-RED.txt lists are passed over and printed.
 KNOWN_RED := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd '|' -)
@@ -49,3 +49,18 @@
 bench:
 	go test -run '^$$' -bench . -benchtime 1s -timeout 30m ./...
 	go test -count 1 -v -run 'TestUnavailable|TestFailuresInFlood|TestControlBytes' ./internal/fleet
+
+# regress plays what must hold before a landing: the whole score and a hunt of each site of the milestone, one site at a
+# time. SYSTEM is the folder of the users' pages with the site files, BENCH their program. Sites of 60 hosts or more get 8
+# days, others 40.
+SITES := further/kalliosaari-gw:40 further-grown/kalliosaari-gw-grown:8 large/gpho-link-large:8
+JOBS ?= 2
+regress:
+	@test -d "$(SYSTEM)" || { echo "SYSTEM=$(SYSTEM) is no folder; give that of the site files"; exit 2; }
+	@test -x "$(BENCH)" || { echo "BENCH=$(BENCH) is no program; give that which plays a site file"; exit 2; }
+	@set -e; for site in $(SITES); do \
+		file="$(SYSTEM)/$${site%:*}.toml"; \
+		test -f "$$file" || { echo "$$file is missing"; exit 2; }; \
+		"$(BENCH)" score "$$file" --jobs $(JOBS) --why "regression before a landing"; \
+		"$(BENCH)" hunt "$$file" --days $${site#*:} --jobs $(JOBS) --why "regression before a landing"; \
+	done
