--- a/internal/keyed/scale_test.go
+++ b/internal/keyed/scale_test.go
@@ -50,6 +50,21 @@
 	return weights
 }
 
+// sumsOf returns the sums of the weights of all keys below each key.
+func sumsOf(weights []float64) []float64 {
+	sums := make([]float64, len(weights)+1)
+	for key, weight := range weights {
+		sums[key+1] = sums[key] + weight
+	}
+	return sums
+}
+
+// hotPartOfLastSecond returns the part of the second before a time in which the busy keys are busy.
+func hotPartOfLastSecond(since time.Duration) float64 {
+	overlap := min(since, hotUntil) - max(since-time.Second, hotFrom)
+	return max(0, overlap.Seconds())
+}
+
 // lateMove is a move that takes effect at a time.
 type lateMove struct {
 	at   time.Time
@@ -75,25 +90,20 @@
 	var loads Loads
 	var pending []lateMove
 	quiet, hot := keyLoad(0), keyLoad(hotFrom)
+	quietSums, hotSums := sumsOf(quiet), sumsOf(hot)
 	bySecond = make([]float64, simulated/time.Second)
 	for since := time.Duration(0); since < simulated; since += planEvery {
 		now := start.Add(since)
-		weights := quiet
+		sums := quietSums
 		if since >= hotFrom && since < hotUntil {
-			weights = hot
+			sums = hotSums
 		}
 		if since%reportEvery == 0 {
 			counts := make(map[int]int)
-			for key := range weights {
+			hotPart := hotPartOfLastSecond(since)
+			for key := range quiet {
 				// A part of the hosts reports, each what it has counted in the last second.
-				expected := 0.0
-				for ago := time.Duration(0); ago < time.Second; ago += planEvery {
-					weight := quiet[key]
-					if since-ago >= hotFrom && since-ago < hotUntil {
-						weight = hot[key]
-					}
-					expected += weight * ratePerSec * reportEvery.Seconds() * planEvery.Seconds()
-				}
+				expected := (quiet[key]*(1-hotPart) + hot[key]*hotPart) * ratePerSec * reportEvery.Seconds()
 				n := int(expected)
 				if random.Float64() < expected-float64(n) {
 					n++
@@ -126,9 +136,7 @@
 		}
 		load := make(map[realm.Instance]float64)
 		for _, r := range ranges {
-			for key := int(r.From); key <= int(r.To); key++ {
-				load[r.Owner] += weights[key]
-			}
+			load[r.Owner] += sums[int(r.To)+1] - sums[r.From]
 		}
 		over := 0.0
 		for _, u := range upstreams {
