--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -47,6 +49,33 @@
 	return true
 }
 
+// takeUnreported returns the instances with a heartbeat that was not reported to the leader yet. From then on they count
+// as reported, so that a heartbeat which arrives while the report is on its way is reported in the next one.
+func (b *heartbeats) takeUnreported() []realm.Instance {
+	instances := slices.Collect(maps.Keys(b.unreported))
+	clear(b.unreported)
+	return instances
+}
+
+// returnUnreported records that a report has failed.
+func (b *heartbeats) returnUnreported(instances []realm.Instance) {
+	for _, instance := range instances {
+		b.unreported[instance] = true
+	}
+}
+
+// prune forgets instances that have sent nothing for a time and are no longer registered. Each start of an upstream is
+// another instance.
+func (b *heartbeats) prune(now time.Time, isRegistered func(realm.Instance) bool) {
+	for instance, last := range b.last {
+		if now.Sub(last) > 2*forgetAfter && !isRegistered(instance) {
+			delete(b.last, instance)
+			delete(b.sequence, instance)
+			delete(b.unreported, instance)
+		}
+	}
+}
+
 // Heartbeat processes a heartbeat of an upstream. A heartbeat that registers an upstream or reports that it drains is
 // acknowledged only once the log holds the change, so that every later leader and every host that follows a replica
 // learns of it.
@@ -200,17 +229,19 @@
 // forwardHeartbeats reports to the leader which upstreams have sent heartbeats to this host.
 func (h *Host) forwardHeartbeats() error {
 	ctx := h.tomb.Context(context.Background())
+	prunedAt := time.Now()
 	for h.tomb.Alive() {
 		pause.For(ctx, forwardInterval)
 		leader := h.leaderName(time.Now())
 		if leader == "" {
 			continue
 		}
-		h.mu.Lock()
-		var instances []realm.Instance
-		for instance := range h.heartbeats.unreported {
-			instances = append(instances, instance)
+		if now := time.Now(); now.Sub(prunedAt) > forgetAfter {
+			prunedAt = now
+			h.pruneHeartbeats(now)
 		}
+		h.mu.Lock()
+		instances := h.heartbeats.takeUnreported()
 		reports := h.reports
 		h.reports = Report{}
 		h.mu.Unlock()
@@ -222,20 +253,28 @@
 		} else {
 			if _, err := callWithTimeout[bool](ctx, h, leader, "heard", heartbeatReport{Instances: instances, Report: reports}); err != nil {
 				h.mu.Lock()
+				h.heartbeats.returnUnreported(instances)
 				h.reports.add(reports)
 				h.mu.Unlock()
-				continue // reported again in the next round
 			}
 		}
-		h.mu.Lock()
-		for _, instance := range instances {
-			delete(h.heartbeats.unreported, instance)
-		}
-		h.mu.Unlock()
 	}
 	return nil
 }
 
+// pruneHeartbeats forgets the heartbeats of instances that ended long ago.
+func (h *Host) pruneHeartbeats(now time.Time) {
+	registered := make(map[realm.Instance]bool)
+	h.readNewest(func(s *realm.State) {
+		for _, u := range s.Upstreams {
+			registered[u.Instance] = true
+		}
+	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heartbeats.prune(now, func(instance realm.Instance) bool { return registered[instance] })
+}
+
 // lastHeartbeat returns the time of the last heartbeat of an instance, or since if that is later.
 func (h *Host) lastHeartbeat(instance realm.Instance, since time.Time) time.Time {
 	h.mu.Lock()
