Learn service times from the first requests on, and count no upstream as capacity while it gets no keys

The weight of a report of one request had become so small that the first request of an upstream decided its speed for some seconds; and upstreams that were still warming up counted as capacity, so that the others seemed overloaded.

Change: the average of the first 33 requests counts each alike; an upstream without keys that is still warming up is no capacity. TestServiceTimeIsKnownSoon, TestWarmingUpstreamsAreNoCapacity.

--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -167,15 +167,16 @@
 		releasable: make(map[realm.Instance]bool, len(upstreams)), load: make(map[realm.Instance]float64, len(upstreams)),
 	}
 	total, totalCapacity := 0.0, 0.0
+	isWarming := make(map[realm.Instance]bool)
 	for _, u := range upstreams {
 		if u.IsReady {
 			s.ready = append(s.ready, u.Instance)
+			isWarming[u.Instance] = u.IsWarming
 			if !u.IsWarming {
 				s.warm = append(s.warm, u.Instance)
 			}
 			s.releasable[u.Instance] = u.ReleaseIsImmediate
 			s.capacity[u.Instance] = max(minCapacity, u.Capacity)
-			totalCapacity += s.capacity[u.Instance]
 		}
 	}
 	s.weights = loads.weightsFor(len(s.ready))
@@ -187,6 +188,12 @@
 	if len(s.warm) == 0 {
 		s.warm = s.ready
 	}
+	for _, instance := range s.ready {
+		// An upstream that gets no keys yet would make all others seem overloaded.
+		if !isWarming[instance] || s.load[instance] > 0 || len(s.warm) == len(s.ready) {
+			totalCapacity += s.capacity[instance]
+		}
+	}
 	if totalCapacity > 0 {
 		s.meanLevel = total / totalCapacity
 	}
--- a/internal/keyed/times.go
+++ b/internal/keyed/times.go
@@ -1,7 +1,6 @@
 package keyed
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -11,10 +10,9 @@
 const (
 	minSpeed = 0.25
 	maxSpeed = 2.0
-	// newestWeight is the weight of a report of usualSamples requests in the average. One request alone tells little: its
-	// work may be five times the usual.
-	newestWeight = 0.3
-	usualSamples = 10
+	// averagedSamples is the number of requests that the average stands for once there have been as many. One request
+	// alone tells little: its work may be five times the usual.
+	averagedSamples = 33
 )
 
 // ServiceTime is what hosts have measured of an upstream.
@@ -30,12 +28,18 @@
 
 // ServiceTimes is the average service time of each upstream: the latency of a request that does not queue there.
 type ServiceTimes struct {
-	byID map[string]time.Duration // by id of the upstream
+	byID map[string]averageTime // by id of the upstream
+}
+
+// averageTime is an average and the number of requests that it stands for, averagedSamples at most.
+type averageTime struct {
+	mean    time.Duration
+	samples int
 }
 
 // NewServiceTimes returns an empty set of service times.
 func NewServiceTimes() *ServiceTimes {
-	return &ServiceTimes{byID: make(map[string]time.Duration)}
+	return &ServiceTimes{byID: make(map[string]averageTime)}
 }
 
 // Add adds measurements of an upstream to its average. Their weight grows with their number: a host of hundreds sees an
@@ -44,13 +48,12 @@
 	if measured.Samples <= 0 || measured.Total <= 0 {
 		return
 	}
-	mean := measured.Total / time.Duration(measured.Samples)
-	if s.byID[id] == 0 {
-		s.byID[id] = mean
-		return
-	}
-	weight := 1 - math.Pow(1-newestWeight, float64(measured.Samples)/usualSamples)
-	s.byID[id] += time.Duration(weight * float64(mean-s.byID[id]))
+	average := s.byID[id]
+	all := min(average.samples+measured.Samples, averagedSamples)
+	weight := min(1, float64(measured.Samples)/float64(all))
+	average.mean += time.Duration(weight * float64(measured.Total/time.Duration(measured.Samples)-average.mean))
+	average.samples = all
+	s.byID[id] = average
 }
 
 // Forget removes the average of an upstream, for example when another instance has started under its id.
@@ -60,7 +63,7 @@
 func (s *ServiceTimes) median(ids []string) time.Duration {
 	var times []time.Duration
 	for _, id := range ids {
-		if serviceTime := s.byID[id]; serviceTime > 0 {
+		if serviceTime := s.byID[id].mean; serviceTime > 0 {
 			times = append(times, serviceTime)
 		}
 	}
@@ -78,7 +81,7 @@
 	speeds = make(map[string]float64, len(ids))
 	for _, id := range ids {
 		speeds[id] = 1
-		if serviceTime := s.byID[id]; serviceTime > 0 {
+		if serviceTime := s.byID[id].mean; serviceTime > 0 {
 			speeds[id] = min(max(float64(median)/float64(serviceTime), minSpeed), maxSpeed)
 		}
 	}
--- a/internal/keyed/times_test.go
+++ b/internal/keyed/times_test.go
@@ -29,7 +29,7 @@
 			}
 			times.Add("u", measured)
 			if i > 400/samples {
-				relative := float64(times.byID["u"])/float64(usual) - 1
+				relative := float64(times.byID["u"].mean)/float64(usual) - 1
 				squares += relative * relative
 				count++
 			}
@@ -64,3 +64,28 @@
 	}
 	is.True(got)
 }
+
+// The speed of an upstream is known after a few requests: the average of the first ones counts each of them alike.
+func TestServiceTimeIsKnownSoon(t *testing.T) {
+	is := is.New(t)
+	times := NewServiceTimes()
+	for _, millis := range []int{900, 200, 210, 190, 200, 220, 180, 200, 205, 195} { // the first one has an unusual request
+		times.Add("u", ServiceTime{Total: time.Duration(millis) * time.Millisecond, Samples: 1})
+	}
+	is.True(times.byID["u"].mean < 290*time.Millisecond)
+	for range 200 { // it has become twice as fast
+		times.Add("u", ServiceTime{Total: 100 * time.Millisecond, Samples: 1})
+	}
+	is.True(times.byID["u"].mean < 110*time.Millisecond)
+}
+
+// Upstreams that have just been added don't make all others seem overloaded while they get no keys.
+func TestWarmingUpstreamsAreNoCapacity(t *testing.T) {
+	is := is.New(t)
+	upstreams := readyUpstreams("a", "b", "c", "d")
+	before := newPlanState(equalRanges("a", "b", "c", "d"), upstreams, &Loads{}).meanLevel
+	for _, id := range []string{"x", "y"} {
+		upstreams = append(upstreams, Upstream{Instance: newInstance(id, 1), Capacity: 2, IsReady: true, IsWarming: true, ReleaseIsImmediate: true})
+	}
+	is.Equal(newPlanState(equalRanges("a", "b", "c", "d"), upstreams, &Loads{}).meanLevel, before)
+}
