Move fewer keys at a time where the work of a request takes long

Its 386 owners got up to 48 moves in 250 ms; a request there works for 650 to 840 ms, each move waits for the work that is running on its keys, requests for them wait as long, and each move is three entries of the log to hosts in other zones.

Change: the moves of a round fall with the square of the usual time of a request above 250 ms, and the rounds stay 500 ms apart. TestSlowWorkMovesFewKeys.

--- a/internal/core/instances.go
+++ b/internal/core/instances.go
@@ -61,9 +61,9 @@
 		"reason", "the upstream acknowledges no grants; its keys go to others once its last grant has expired")
 }
 
-// speedsOf returns the relative speeds of the upstreams of a service, and how strongly fast upstreams are preferred at
-// the current load.
-func (h *Host) speedsOf(now time.Time, upstreams []*realm.Upstream, service string) (map[string]float64, float64) {
+// speedsOf returns the relative speeds of the upstreams of a service, how strongly fast upstreams are preferred at the
+// current load, and the usual time of a request.
+func (h *Host) speedsOf(now time.Time, upstreams []*realm.Upstream, service string) (map[string]float64, float64, time.Duration) {
 	var ids []string
 	slots := 0
 	for _, u := range upstreams {
@@ -81,7 +81,7 @@
 		capacity += float64(u.Slots()) * speeds[u.ID]
 	}
 	demand := h.loadsOf(service).Rate(now) * median.Seconds()
-	return speeds, keyed.Bias(demand, capacity, float64(slots)/float64(max(1, len(ids))))
+	return speeds, keyed.Bias(demand, capacity, float64(slots)/float64(max(1, len(ids)))), median
 }
 
 func (h *Host) forgetServiceTime(id string) {
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -222,7 +222,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var upstreams []keyed.Upstream
-	speeds, bias := k.host.speedsOf(now, all, service)
+	speeds, bias, work := k.host.speedsOf(now, all, service)
 	for _, u := range all {
 		if u.Service != service {
 			continue
@@ -245,6 +245,7 @@
 		planner = keyed.NewPlanner(service)
 		k.planners[service] = planner
 	}
+	planner.SetWork(work)
 	k.host.mu.Lock()
 	loads := *k.host.loadsOf(service)
 	k.host.mu.Unlock()
--- a/internal/keyed/balance.go
+++ b/internal/keyed/balance.go
@@ -44,10 +44,10 @@
 	return h
 }
 
-// balance returns the moves of one round of rebalancing; their ranges don't overlap. Each takes keys from the upstream
+// balance returns the moves of one round of rebalancing, some at most; their ranges don't overlap. Each takes keys from the upstream
 // with the highest level that has suitable ones to the upstream with the lowest level. An upstream without load gets
 // keys even if no other one is overloaded.
-func (p *Planner) balance(s *planState, ranges realm.Ranges, isMoving func(realm.KeyRange) bool) []Move {
+func (p *Planner) balance(s *planState, ranges realm.Ranges, most int, isMoving func(realm.KeyRange) bool) []Move {
 	var moves []Move
 	if s.meanLevel == 0 {
 		return nil
@@ -62,7 +62,7 @@
 	sources := s.newHeap(slices.DeleteFunc(slices.Clone(s.ready), func(i realm.Instance) bool { return !s.releasable[i] }), true)
 	targets := s.newHeap(s.warm, false)
 	partsFrom := make(map[realm.Instance]int)
-	for len(moves) < max(minBalanceMoves, len(s.ready)/ownersPerMove) && sources.Len() > 0 {
+	for len(moves) < most && sources.Len() > 0 {
 		nextOwner := targets.instances[0]
 		isEmpty := s.load[nextOwner] == 0
 		if !isEmpty && s.level(nextOwner) > underloadedRatio*s.meanLevel {
--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -17,6 +17,7 @@
 	minBalanceMoves  = 3                      // most moves in one round for few upstreams: requests for keys that move have to wait
 	ownersPerMove    = 8                      // with many upstreams, one move in a round for each of this many
 	maxPartsFromOne  = 64                     // parts that leave one upstream in a round
+	quickWork        = 250 * time.Millisecond // usual work up to which many keys may move at a time
 	maxNewOwners     = 4                      // upstreams among which one range of a lost or drained upstream is split
 	minMoveLoad      = 0.1                    // least load that a move carries, as a share of the mean level
 )
@@ -78,6 +79,7 @@
 // Planner plans the ownership of the keys of one service.
 type Planner struct {
 	service       string
+	work          time.Duration // usual time of a request at an upstream, 0 if it is not known
 	balancedAt    time.Time
 	partitionedAt map[string]time.Time // by availability zone: when it was last seen cut off
 }
@@ -87,6 +89,24 @@
 	return &Planner{service: service, partitionedAt: make(map[string]time.Time)}
 }
 
+// SetWork sets the usual time of a request at an upstream. A move waits for the work that is running on its keys, and
+// requests for them wait as long.
+func (p *Planner) SetWork(work time.Duration) { p.work = work }
+
+// pace returns how many moves one round of rebalancing makes at most, and the least time between two rounds. With many
+// upstreams a round moves a part of what is needed only, if moves are quick.
+func (p *Planner) pace(s *planState) (moves int, interval time.Duration) {
+	if len(s.ready) <= maxCoarseOwners {
+		return minBalanceMoves, balanceInterval
+	}
+	many := float64(len(s.ready)) / ownersPerMove
+	if p.work <= quickWork {
+		return int(many), balanceInterval / 2
+	}
+	slow := float64(quickWork) / float64(p.work)
+	return max(minBalanceMoves, int(many*slow*slow)), balanceInterval
+}
+
 // planState is the working state of one call of Plan.
 type planState struct {
 	weights    *weights
@@ -145,22 +165,14 @@
 			plan.Moves = append(plan.Moves, newMove(r.KeyRange, r.Owner, r.FencingToken, nextOwner))
 		}
 	}
-	if len(plan.Assignments) == 0 && len(plan.Moves) == 0 && now.Sub(p.balancedAt) >= s.balanceInterval() {
+	most, interval := p.pace(s)
+	if len(plan.Assignments) == 0 && len(plan.Moves) == 0 && now.Sub(p.balancedAt) >= interval {
 		p.balancedAt = now
-		plan.Moves = p.balance(s, ranges, isMoving)
+		plan.Moves = p.balance(s, ranges, most, isMoving)
 	}
 	return plan
 }
 
-// balanceInterval returns the least time between two rounds of rebalancing. With many upstreams a round moves a part of
-// what is needed only.
-func (s *planState) balanceInterval() time.Duration {
-	if len(s.ready) > maxCoarseOwners {
-		return balanceInterval / 2
-	}
-	return balanceInterval
-}
-
 func newPlanState(ranges realm.Ranges, upstreams []Upstream, loads *Loads) *planState {
 	s := &planState{
 		total: loads.total(), capacity: make(map[realm.Instance]float64, len(upstreams)),
--- a/internal/keyed/scale_test.go
+++ b/internal/keyed/scale_test.go
@@ -167,3 +167,19 @@
 	is.True(mean(planned[16:]) < mean(still[16:])/4)     // and back
 	is.True(moved < 65536)
 }
+
+// Where the work of a request takes long, a move makes the requests for its keys wait as long, so that few keys move at a
+// time even with hundreds of owners.
+func TestSlowWorkMovesFewKeys(t *testing.T) {
+	is := is.New(t)
+	s := &planState{ready: make([]realm.Instance, 386)}
+	pace := func(work time.Duration) float64 {
+		p := NewPlanner("s")
+		p.SetWork(work)
+		moves, interval := p.pace(s)
+		return float64(moves) / interval.Seconds()
+	}
+	is.True(pace(160*time.Millisecond) > 150)
+	is.True(pace(700*time.Millisecond) < 15)
+	is.True(pace(time.Minute) >= minBalanceMoves/balanceInterval.Seconds())
+}
