Send no request of a stopping host that stands behind another one on its connection

Change: while a host stops, a request behind another one is sent once that one has its answer; the caller sends again what stands behind an answer that closes. TestPipelinedRequestsOfAStoppingHost fails on the former commit.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -33,7 +33,9 @@
 func (f *Front) forward(ctx context.Context, c *call) *outcome {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	if c.route.Repeat != route.Idempotent {
+	// While this host stops, a request behind another one is not sent either: its answer would wait for that of the other,
+	// which the end of the process may cut. The caller sends again what stands behind an answer that closes.
+	if c.route.Repeat != route.Idempotent || f.draining.Load() {
 		select {
 		case <-c.exchange.PriorDone():
 		case <-ctx.Done():
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -1,11 +1,13 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -222,3 +224,42 @@
 	status, _ = ask(t, client, url+"/once/x", "later")
 	is.Equal(status, http.StatusOK)
 }
+
+// While a host stops, a request that stands behind another one on its connection is sent to an upstream only once that
+// one has its answer: otherwise an answer that is ready would be cut together with the work before it.
+func TestPipelinedRequestsOfAStoppingHost(t *testing.T) {
+	for _, isStopping := range []bool{false, true} {
+		t.Run(fmt.Sprint("stopping=", isStopping), func(t *testing.T) {
+			is := is.New(t)
+			release := make(chan struct{})
+			var quickSent atomic.Bool
+			u := newFaultyUpstream(t, func(_ *faultyUpstream, conn net.Conn, id string, _ bool) {
+				if id == "slow" {
+					<-release
+				} else {
+					quickSent.Store(true)
+				}
+				_, _ = io.WriteString(conn, okHead+"Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+			})
+			f, url := startFrontOf(t, false, u)
+			f.draining.Store(isStopping)
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			is.NoErr(err)
+			defer conn.Close()
+			for _, id := range []string{"slow", "quick"} {
+				_, err = io.WriteString(conn, "GET /often/x HTTP/1.1\r\nHost: a.example\r\nId: "+id+"\r\n\r\n")
+				is.NoErr(err)
+			}
+			time.Sleep(200 * time.Millisecond)
+			is.Equal(quickSent.Load(), !isStopping)
+			close(release)
+			reader := bufio.NewReader(conn)
+			for _, id := range []string{"slow", "quick"} {
+				response, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+				is.Equal(response.StatusCode, http.StatusOK)
+				is.Equal(response.Header.Get("Id"), id)
+			}
+		})
+	}
+}
