--- a/internal/keyed/plan.go
+++ b/internal/keyed/plan.go
@@ -104,7 +104,7 @@
 		return int(many), balanceInterval / 2
 	}
 	slow := float64(quickWork) / float64(p.work)
-	return max(minBalanceMoves, int(many*slow*slow)), balanceInterval
+	return max(minBalanceMoves, int(many*slow*slow*slow)), balanceInterval
 }
 
 // planState is the working state of one call of Plan.
