Count the replies to followers that may lack changes

The logs of a control host did not tell whether the state that it serves is as new as the leader's: its contact with the leader is any message of the last second. A replica now records when it last held all that the leader had committed, and workload counts the replies in which the host was in contact and had not. Nothing decides on it yet.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -141,6 +141,23 @@
 	return leads || status.Leader != "" && status.Leader != h.name && now.Sub(status.LastContact) < leaderContactTimeout && status.Commit > 0
 }
 
+// isCurrent reports whether this host held all that the leader had committed within the last leaderContactTimeout: its
+// replica leads or follows closely, or it mirrors the state of a host that does. A replica that has only promised a
+// candidate, or that receives a long tail of the log, is in contact and not current.
+func (h *Host) isCurrent(now time.Time) bool {
+	if h.replicaIsCurrent(now) {
+		return true
+	}
+	_, ok := h.mirror.contact(now)
+	return ok
+}
+
+// replicaIsCurrent is isCurrent for the replica of this host alone.
+func (h *Host) replicaIsCurrent(now time.Time) bool {
+	status, leads := h.leads(now)
+	return leads || !status.CurrentAt.IsZero() && now.Sub(status.CurrentAt) < leaderContactTimeout
+}
+
 // Status returns the status of the replica, for the metrics and the status page.
 func (h *Host) Status(now time.Time) paxos.Status {
 	return h.currentReplica().replica.Status(now)
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return FollowReply{}, err
 	}
-	h.workload.countReply(update)
+	h.workload.countReply(update, reply.LeaderReachable && !h.isCurrent(now))
 	reply.Encoded = &update
 	return reply, nil
 }
--- a/internal/core/workload.go
+++ b/internal/core/workload.go
@@ -18,6 +18,7 @@
 type workload struct {
 	replies     atomic.Int64 // replies to follow calls
 	replyBytes  atomic.Int64 // updates in those replies, as they were sent
+	oldReplies  atomic.Int64 // replies while this host did not hold all that the leader had committed
 	logCalls    atomic.Int64 // messages of the log to other replicas
 	logTimeouts atomic.Int64 // those without a reply within the timeout
 	logBytes    atomic.Int64 // data of the entries and snapshots in them
@@ -33,15 +34,18 @@
 		commit = h.Status(time.Now()).Commit
 		entries := max(commit, commitBefore) - commitBefore // a replica that was opened again may have fewer
 		_ = h.logger.Log("event", "workload", "entries", entries, "replies", w.replies.Swap(0), "reply-bytes", w.replyBytes.Swap(0),
-			"log-calls", w.logCalls.Swap(0), "log-timeouts", w.logTimeouts.Swap(0), "log-bytes", w.logBytes.Swap(0))
+			"old-replies", w.oldReplies.Swap(0), "log-calls", w.logCalls.Swap(0), "log-timeouts", w.logTimeouts.Swap(0), "log-bytes", w.logBytes.Swap(0))
 	}
 	return nil
 }
 
-// countReply counts a reply to a follow call.
-func (w *workload) countReply(update EncodedUpdate) {
+// countReply counts a reply to a follow call; isOld is true if it may lack changes that the leader has committed.
+func (w *workload) countReply(update EncodedUpdate, isOld bool) {
 	w.replies.Add(1)
 	w.replyBytes.Add(int64(update.size()))
+	if isOld {
+		w.oldReplies.Add(1)
+	}
 }
 
 // countingTransport counts the messages of the log that a host sends.
--- a/pkg/paxos/accept.go
+++ b/pkg/paxos/accept.go
@@ -65,6 +65,10 @@
 	if err := r.applyUpTo(min(args.Commit, r.matchIndex)); err != nil {
 		return AcceptReply{}, r.fail(err)
 	}
+	// Until a leader has committed an entry of its own ballot, it may not know all that earlier leaders have committed.
+	if args.Commit >= args.BallotStart && r.commit >= args.Commit {
+		r.currentAt = now
+	}
 	return AcceptReply{OK: true, Match: r.matchIndex}, nil
 }
 
--- a/pkg/paxos/replica.go
+++ b/pkg/paxos/replica.go
@@ -87,6 +87,7 @@
 	Leader      string
 	Leading     bool
 	LastContact time.Time // when this replica last heard from the leader or promised a candidate, if it does not lead
+	CurrentAt   time.Time // when this replica last held all that the leader had committed, if it does not lead
 	LeaseUntil  time.Time // time until which no other replica can lead, if this replica leads
 	Commit      uint64
 	Members     Members // the newest committed membership; a new member counts only from then on
@@ -111,6 +112,7 @@
 	matchIndex     uint64 // the log up to this index is chosen or of matchBallot
 	matchBallot    Ballot
 	lastContact    time.Time // when the replica last heard from the leader or promised a candidate
+	currentAt      time.Time // when the replica last held all that the leader had committed
 	leader         string
 	currentTenure  *tenure
 	pendingMembers Members // an uncommitted membership found in a lost election
@@ -196,6 +198,7 @@
 	status := Status{
 		Leader:      r.leader,
 		LastContact: r.lastContact,
+		CurrentAt:   r.currentAt,
 		Commit:      r.commit,
 		Members:     r.log.membersAt(r.commit),
 		Ballot:      r.promised,
