Tell entry hosts to follow another host while this one lags behind the leader

Callers of two entry hosts were served by version 9 of the configuration 5.6 s after version 13 had been acknowledged.

Cause: a control host counted as in contact with the leader whatever it held itself. Any message of the last second was enough, that of a candidate too. A host back from a cut told entry hosts that its state was recent, and they stayed with it until it had caught up; one that receives large entries slowly, or takes part in one election after another, would hold them for as long as that lasts.

A reply to a follower now says that the state is recent only if the replica has held all that the leader had committed within the last second, and the leader had committed an entry of its own ballot by then. Contact alone still decides on heartbeats and reports, which the leader has to learn.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -125,8 +125,8 @@
 // lease and a few heartbeats.
 const leaderContactTimeout = time.Second
 
-// hasLeaderContact reports whether the state of this host is recent: its replica is in contact with the leader, or it
-// mirrors the state of a host that is.
+// hasLeaderContact reports whether the leader can learn of what this host receives: its replica has heard from a leader or
+// a candidate lately, or it mirrors the state of a host that has. Its own state may be older.
 func (h *Host) hasLeaderContact(now time.Time) bool {
 	if h.replicaHasContact(now) {
 		return true
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -39,8 +39,8 @@
 
 // FollowReply holds the changes; they may be out of date if LeaderReachable is false.
 type FollowReply struct {
-	LeaderReachable bool           `json:"in-touch"`
-	IsReplica       bool           `json:"replica,omitempty"` // a replica of the responding host is in contact with the leader
+	LeaderReachable bool           `json:"in-touch"`          // the responding host holds what the leader had committed lately
+	IsReplica       bool           `json:"replica,omitempty"` // a replica of the responding host does
 	Leader          string         `json:"leader,omitempty"`  // of the log, as far as the responding host knows
 	Members         []Member       `json:"members,omitempty"` // control hosts that accept follow requests, if the follower has another list
 	Hosts           uint64         `json:"hosts,omitempty"`   // mark of that list
@@ -68,11 +68,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	if h.hasLeaderContact(time.Now()) {
+	if h.isCurrent(time.Now()) {
 		h.feed.await(ctx, args.Since)
 	}
 	now := time.Now()
-	reply := FollowReply{LeaderReachable: h.hasLeaderContact(now), IsReplica: h.replicaHasContact(now), Leader: h.leaderName(now)}
+	reply := FollowReply{LeaderReachable: h.isCurrent(now), IsReplica: h.replicaIsCurrent(now), Leader: h.leaderName(now)}
 	hosts := h.controlHosts(now)
 	if reply.Hosts = markOf(hosts); reply.Hosts != args.Hosts {
 		reply.Members = hosts
@@ -86,7 +86,7 @@
 	if err != nil {
 		return FollowReply{}, err
 	}
-	h.workload.countReply(update, reply.LeaderReachable && !h.isCurrent(now))
+	h.workload.countReply(update, h.hasLeaderContact(now) && !reply.LeaderReachable)
 	reply.Encoded = &update
 	return reply, nil
 }
