Send no state with replies that followers don't use

Callers waited for their entry hosts after a loss of power: while no leader was known, each of 85 entry hosts asked the control hosts in turn, 50 ms apart, and got the whole state of 39 KB with each reply, to throw it away.

A host that can't tell that its state is recent now replies without it.

--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -37,7 +37,7 @@
 	Mirror  bool   `json:"mirror,omitempty"`  // the follower is a control host without a vote, which serves the state to others
 }
 
-// FollowReply holds the changes; they may be out of date if LeaderReachable is false.
+// FollowReply holds the changes; there are none if LeaderReachable is false.
 type FollowReply struct {
 	LeaderReachable bool           `json:"in-touch"`          // the responding host holds what the leader had committed lately
 	IsReplica       bool           `json:"replica,omitempty"` // a replica of the responding host does
@@ -77,6 +77,10 @@
 	if reply.Hosts = markOf(hosts); reply.Hosts != args.Hosts {
 		reply.Members = hosts
 	}
+	if !reply.LeaderReachable { // the follower turns to another host and would not use an update
+		h.workload.countLost(h.hasLeaderContact(now))
+		return reply, nil
+	}
 	if !args.Encoded {
 		update := h.feed.wholeSince(args.Since)
 		reply.Update = &update
@@ -86,7 +90,7 @@
 	if err != nil {
 		return FollowReply{}, err
 	}
-	h.workload.countReply(update, h.hasLeaderContact(now) && !reply.LeaderReachable)
+	h.workload.countReply(update)
 	reply.Encoded = &update
 	return reply, nil
 }
--- a/internal/core/workload.go
+++ b/internal/core/workload.go
@@ -18,7 +18,7 @@
 type workload struct {
 	replies     atomic.Int64 // replies to follow calls
 	replyBytes  atomic.Int64 // updates in those replies, as they were sent
-	oldReplies  atomic.Int64 // replies of this host while it was in contact and lacked entries that the leader had committed
+	oldReplies  atomic.Int64 // replies while this host was in contact and lacked entries that the leader had committed
 	logCalls    atomic.Int64 // messages of the log to other replicas
 	logTimeouts atomic.Int64 // those without a reply within the timeout
 	logBytes    atomic.Int64 // data of the entries and snapshots in them
@@ -39,11 +39,16 @@
 	return nil
 }
 
-// countReply counts a reply to a follow call; isOld is true if this host lacked entries that the leader had committed.
-func (w *workload) countReply(update EncodedUpdate, isOld bool) {
+// countReply counts a reply to a follow call with an update.
+func (w *workload) countReply(update EncodedUpdate) {
 	w.replies.Add(1)
 	w.replyBytes.Add(int64(update.size()))
-	if isOld {
+}
+
+// countLost counts a reply to a follow call without an update.
+func (w *workload) countLost(hasContact bool) {
+	w.replies.Add(1)
+	if hasContact {
 		w.oldReplies.Add(1)
 	}
 }
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -72,7 +72,7 @@
 	r.reply, err = peer.CallWhileReceiving[core.FollowReply](ctx, f.endpoint, source, "follow", request, followTimeout)
 	r.bytes, r.took = f.endpoint.Received(source)-bytesBefore, time.Since(start)
 	f.stats.UpdateBytes.Add(r.bytes)
-	if err != nil {
+	if err != nil || !r.reply.LeaderReachable {
 		return r, err
 	}
 	r.update, err = r.reply.Decode()
