Distrust what a control host knew before its machine was suspended

A control host that does not lead took a state for recent that was as old as the suspension of its machine, since the steady clock does not count that time; a leader already asked the suspend detector. The same cause as with hosts that lag behind.

TestSuspendedFollowerIsNotCurrent failed with 'not true: !h.isCurrent(time.Now())'. Leader and follower use the same period, since the detector keeps one.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,7 +118,7 @@
 // been suspended can't tell how old its lease is, and doesn't count as the leader.
 func (h *Host) leads(now time.Time) (paxos.Status, bool) {
 	status := h.currentReplica().replica.Status(now)
-	return status, status.Leading && h.suspends.Reliable(now, timing().Lease)
+	return status, status.Leading && h.suspends.Reliable(now, leaderContactTimeout)
 }
 
 // leaderContactTimeout is how long after the leader's last message a host counts as in contact with it: the leader's
@@ -155,7 +155,10 @@
 // replicaIsCurrent is isCurrent for the replica of this host alone.
 func (h *Host) replicaIsCurrent(now time.Time) bool {
 	status, leads := h.leads(now)
-	return leads || !status.CurrentAt.IsZero() && now.Sub(status.CurrentAt) < leaderContactTimeout
+	if leads {
+		return true
+	}
+	return !status.CurrentAt.IsZero() && now.Sub(status.CurrentAt) < leaderContactTimeout && h.suspends.Reliable(now, leaderContactTimeout)
 }
 
 // Status returns the status of the replica, for the metrics and the status page.
