Move keys away from upstreams with limits, and tell every host of a limit with the state

Entry hosts now report a limit, and its end, until the state says the same; the leader puts it into the log, the planner takes it as the upstream's capacity, and every host learns of it with the state. A change of the limit leaves the time in which a draining upstream's phase was learned as it is.

--- a/internal/admit/notices.go
+++ b/internal/admit/notices.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Notices is what an upstream has said in its responses to this host about the requests that it wants: that it is
 // leaving, that it wants none for a while, or only some per second from all hosts together. The load patterns are the
@@ -9,28 +12,50 @@
 type Notices struct {
 	leavingSince time.Time
 	pausedUntil  time.Time
-	limit        float64   // requests per second
-	limitedAt    time.Time // when a response last named the limit; zero if there is none
+	limit        float64 // requests per second
+	hasLimit     bool
+	limitedAt    time.Time // when the limit was last named
 }
 
 // RecordLimit records whether a response to a request that was sent at sentAt names a limit, in requests per second. It
-// reports whether that changes the limit. Responses may arrive in another order than they were sent, so one without a
-// limit ends the limit only if its request was sent after the limit was last named.
+// reports whether that changes the limit by more than a little. Responses may arrive in another order than they were
+// sent, so one without a limit ends the limit only if its request was sent after the limit was last named.
 func (n *Notices) RecordLimit(sentAt, now time.Time, limit float64, hasLimit bool) (changes bool) {
 	if hasLimit {
-		changes = n.limitedAt.IsZero() || n.limit != limit
-		n.limit, n.limitedAt = limit, now
+		changes = !n.hasLimit || !IsSameLimit(n.limit, limit)
+		n.limit, n.hasLimit, n.limitedAt = limit, true, now
 		return changes
 	}
-	if n.limitedAt.IsZero() || sentAt.Before(n.limitedAt) {
+	if !n.hasLimit || sentAt.Before(n.limitedAt) {
 		return false
 	}
-	n.limit, n.limitedAt = 0, time.Time{}
+	n.limit, n.hasLimit = 0, false
 	return true
 }
 
+// limitTolerance is the relative change of a limit from which other hosts have to learn of it.
+const limitTolerance = 0.05
+
+// IsSameLimit reports whether two limits differ by so little that other hosts need not learn of the change.
+func IsSameLimit(a, b float64) bool { return math.Abs(a-b) <= limitTolerance*min(a, b) }
+
+// LearnLimit sets the limit that other hosts were told, in requests per second, 0 if the upstream names none any more. An
+// end of the limit that they have seen does not count if this host was told of the limit after that.
+func (n *Notices) LearnLimit(now time.Time, limit float64) {
+	if limit > 0 {
+		n.limit, n.hasLimit, n.limitedAt = limit, true, now
+		return
+	}
+	if now.Sub(n.limitedAt) >= learnTime {
+		n.limit, n.hasLimit = 0, false
+	}
+}
+
+// learnTime is how long what one host was told usually takes to reach the others.
+const learnTime = 2 * time.Second
+
 // Limit returns the requests per second that the upstream takes from all hosts together, and whether it has named a limit.
-func (n *Notices) Limit() (float64, bool) { return n.limit, !n.limitedAt.IsZero() }
+func (n *Notices) Limit() (float64, bool) { return n.limit, n.hasLimit }
 
 // RecordLeaving records that the upstream has said that it is leaving; it reports whether that is new.
 func (n *Notices) RecordLeaving(now time.Time) bool {
--- a/internal/core/instances.go
+++ b/internal/core/instances.go
@@ -78,7 +78,7 @@
 	capacity := 0.0
 	for _, u := range upstreams {
 		// The speed is 0 for upstreams of other services and those that are not ready.
-		capacity += float64(u.Slots()) * speeds[u.ID]
+		capacity += keyed.Limited(float64(u.Slots())*speeds[u.ID], u.Limit, median)
 	}
 	demand := h.loadsOf(service).Rate(now) * median.Seconds()
 	return speeds, keyed.Bias(demand, capacity, float64(slots)/float64(max(1, len(ids)))), median
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -172,6 +172,7 @@
 		}
 		plans[service] = k.planService(now, upstreams, service, ranges)
 	}
+	command.SetLimits = k.host.takeLimits(s.Upstreams)
 	k.updateTasks(&s)
 	defer func() { k.endMoves(command.Assignments) }()
 	for service, plan := range plans {
@@ -181,13 +182,16 @@
 		}
 	}
 	took = time.Since(now)
-	if len(command.Assignments)+len(command.SetPhase)+len(command.Forget) == 0 {
+	if len(command.Assignments)+len(command.SetPhase)+len(command.SetLimits)+len(command.Forget) == 0 {
 		return took
 	}
 	for _, assignment := range command.Assignments {
 		_ = k.host.logger.Log("event", "keys-assigned", "service", assignment.Service, "from", assignment.Keys.From, "to", assignment.Keys.To,
 			"owner", assignment.Owner.ID, "born", assignment.Owner.StartMillis, "was", assignment.ExpectedToken)
 	}
+	for _, change := range command.SetLimits {
+		_ = k.host.logger.Log("event", "upstream-limits", "upstream", change.ID, "born", change.StartMillis, "limit", change.Limit)
+	}
 	k.proposeUntilKnown(command)
 	return took
 }
@@ -231,7 +235,7 @@
 		isUnresponsive, failing := k.tracker.IsUnresponsive(now, u.Instance, lastHeartbeat), k.tracker.FailingFor(now, u.Instance)
 		k.logUnresponsive(now, u.Instance, isUnresponsive && !u.Ended, failing, lastHeartbeat)
 		upstreams = append(upstreams, keyed.Upstream{
-			Instance: u.Instance, Zone: u.Zone, Capacity: keyed.Capacity(float64(u.Slots()), speeds[u.ID], bias), Failing: failing,
+			Instance: u.Instance, Zone: u.Zone, Capacity: keyed.Limited(keyed.Capacity(float64(u.Slots()), speeds[u.ID], bias), u.Limit, work), Failing: failing,
 			IsReady:            u.Phase == realm.Ready && failing == 0 && now.Sub(lastHeartbeat) < k.host.lostAfter(),
 			IsWarming:          k.seen[u.Instance].After(k.startTime) && now.Sub(k.seen[u.Instance]) < u.WarmFor,
 			IsEnded:            u.Ended,
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"lovagelink.example/lovagelink/internal/keyed"
+	"lovagelink.example/lovagelink/internal/realm"
 )
 
 // Report holds the counts of an entry host since its last report. A control host that does not lead joins those of the
@@ -13,6 +16,7 @@
 	Loads map[string]map[int]int `json:"key-loads,omitempty"` // number of requests by service and bucket of keys
 	// ServiceTimes are by upstream id, of requests after which the upstream had nothing queued.
 	ServiceTimes map[string]keyed.ServiceTime `json:"service-times,omitempty"`
+	Limits       []realm.LimitChange          `json:"limits,omitempty"`      // that upstreams have named, or name no more
 	EntryHosts   []string                     `json:"entry-hosts,omitempty"` // names of the entry hosts; empty in an entry host's own report
 }
 
@@ -41,6 +45,7 @@
 	for id, measured := range other.ServiceTimes {
 		r.ServiceTimes[id] = r.ServiceTimes[id].Plus(measured)
 	}
+	r.Limits = append(r.Limits, other.Limits...)
 	r.EntryHosts = append(r.EntryHosts, other.EntryHosts...)
 }
 
@@ -77,6 +82,9 @@
 	for id, measured := range report.ServiceTimes {
 		h.serviceTimes.Add(id, measured)
 	}
+	for _, change := range report.Limits {
+		h.limits[change.Instance] = change.Limit
+	}
 }
 
 // knownEntryHosts returns the number of entry hosts that this host has counted or learned from the leader, or 0.
@@ -104,3 +112,18 @@
 	}
 	return len(h.entryHosts)
 }
+
+// takeLimits returns the reported limits that the state does not hold yet, and forgets them. Entry hosts report them again
+// until they have received them with the state.
+func (h *Host) takeLimits(upstreams map[string]*realm.Upstream) (changes []realm.LimitChange) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for instance, limit := range h.limits {
+		if u := upstreams[instance.ID]; u != nil && u.Instance == instance && u.Phase != realm.Gone && u.Limit != limit {
+			changes = append(changes, realm.LimitChange{Instance: instance, Limit: limit})
+		}
+	}
+	clear(h.limits)
+	slices.SortFunc(changes, func(a, b realm.LimitChange) int { return strings.Compare(a.ID, b.ID) })
+	return changes
+}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -103,6 +103,7 @@
 		if isOwnWord(info) {
 			f.recordNotices(c, u, info)
 			if u.recordLimit(sentAt, time.Now(), info) {
+				f.reportLimit(u.registration.Instance)
 				_ = f.logger.Log("event", "upstream-limits", "id", c.info.ID, "upstream", u.registration.ID, "limit", info.Limit, "named", info.HasLimit)
 			}
 		}
--- a/internal/front/directory.go
+++ b/internal/front/directory.go
@@ -51,12 +51,16 @@
 			next.copyShard(now, shard)
 			isCopied[shard] = true
 		}
+		phaseSeenAt := now
 		if former := next.shards[shard][u.ID]; former == nil {
 			next.count++
 		} else {
 			next.usable[former.Service] = &usable{}
+			if former.Instance == u.Instance && former.Phase == u.Phase && former.Ended == u.Ended {
+				phaseSeenAt = former.PhaseSeenAt
+			}
 		}
-		next.shards[shard][u.ID] = &UpstreamState{Upstream: u, PhaseSeenAt: now}
+		next.shards[shard][u.ID] = &UpstreamState{Upstream: u, PhaseSeenAt: phaseSeenAt}
 		next.usable[u.Service] = &usable{}
 	}
 	return next
--- a/internal/front/follow.go
+++ b/internal/front/follow.go
@@ -105,7 +105,7 @@
 	case next.Index <= old.Index:
 		return old.Index
 	}
-	f.setView(next, old, r.update.Upstreams)
+	f.setView(start, next, old, r.update.Upstreams)
 	if next.Table != nil && next.Table != old.Table {
 		_ = f.logger.Log("event", "config-in-force", "version", next.Table.Config.Version, "index", next.Index, "source", source,
 			"received", r.bytes, "took", r.took, "applied-in", time.Since(start))
@@ -127,16 +127,20 @@
 }
 
 // setView makes a view the current one, and closes the connections to those of the changed upstreams that have ended.
-func (f *Front) setView(next, old *View, changed []realm.Upstream) {
+func (f *Front) setView(now time.Time, next, old *View, changed []realm.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view.Store(next)
 	close(f.changed)
 	f.changed = make(chan struct{})
 	for _, u := range changed {
-		if former := old.Upstream(u.ID); former != nil && !next.has(former.Instance) {
+		former := old.Upstream(u.ID)
+		if former != nil && !next.has(former.Instance) {
 			f.forget(former.Instance)
 		}
+		if known := f.upstreams[u.Instance]; known != nil && former != nil && former.Instance == u.Instance && former.Limit != u.Limit {
+			known.learnLimit(now, u.Limit)
+		}
 	}
 }
 
@@ -198,6 +202,7 @@
 	defer f.mu.Unlock()
 	report := core.Report{Loads: f.keyCounts, ServiceTimes: make(map[string]keyed.ServiceTime)}
 	f.keyCounts = make(map[string]map[int]int)
+	report.Limits = f.changedLimits(f.view.Load())
 	if withLatencies {
 		for instance, u := range f.upstreams {
 			if measured := u.takeServiceTime(); measured.Samples > 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -55,6 +55,8 @@
 
 	countingHosts []quota.Host         // the control hosts according to the newest list
 	uncountedAt   map[string]time.Time // when a control host could last not be asked, by name
+	// Upstreams whose limit is to be reported, since it differs from that in the state.
+	unreportedLimits map[realm.Instance]bool
 }
 
 // initialHostCount is the number of entry hosts that is assumed until the leader reports it.
@@ -68,7 +70,7 @@
 		pools:  make(map[string]*pool),
 		splits: make(map[string]*route.Split), budgets: make(map[string]*admit.RetryBudget),
 		keyCounts: make(map[string]map[int]int), hostCount: initialHostCount,
-		uncountedAt: make(map[string]time.Time),
+		uncountedAt: make(map[string]time.Time), unreportedLimits: make(map[realm.Instance]bool),
 	}
 	f.view.Store(&View{})
 	hash := fnv.New32a()
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -119,7 +119,7 @@
 	update := realm.Update{Index: 2, Upstreams: []realm.Upstream{next}, Ranges: map[string]realm.Ranges{
 		"s": {{KeyRange: realm.AllKeys, Owner: next.Instance, FencingToken: 2, Active: true, Changed: 2}},
 	}}
-	f.setView(viewWith(t, old, late, update), old, update.Upstreams)
+	f.setView(late, viewWith(t, old, late, update), old, update.Upstreams)
 	chosen, refusal = f.choose(ctx, late, newCall(f, late, 7))
 	is.True(refusal == nil)
 	is.Equal(chosen.registration.Instance, next.Instance)
--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/admit"
 	"lovagelink.example/lovagelink/internal/calls"
 	"lovagelink.example/lovagelink/internal/core"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/quota"
+	"lovagelink.example/lovagelink/internal/realm"
 )
 
 // Timing of the questions to the control host that counts the requests to an upstream with a limit.
@@ -140,3 +142,38 @@
 	}
 	clear(f.uncountedAt)
 }
+
+// learnLimit records the limit that other hosts were told.
+func (u *upstream) learnLimit(now time.Time, limit float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.notices.LearnLimit(now, limit)
+}
+
+// reportLimit makes the next reports tell the control hosts of the limit of an upstream, or of its end.
+func (f *Front) reportLimit(instance realm.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreportedLimits[instance] = true
+}
+
+// changedLimits returns the limits to be reported: those that the state does not hold yet. The caller holds f.mu.
+func (f *Front) changedLimits(view *View) (changes []realm.LimitChange) {
+	for instance := range f.unreportedLimits {
+		u, state := f.upstreams[instance], view.Upstream(instance.ID)
+		if u == nil || state == nil || state.Instance != instance {
+			delete(f.unreportedLimits, instance)
+			continue
+		}
+		limit, ok := u.limit()
+		if !ok {
+			limit = 0
+		}
+		if admit.IsSameLimit(limit, state.Limit) {
+			delete(f.unreportedLimits, instance)
+			continue
+		}
+		changes = append(changes, realm.LimitChange{Instance: instance, Limit: limit})
+	}
+	return changes
+}
--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -136,3 +136,52 @@
 	}
 	is.True(limitedCount.Load() <= 3)
 }
+
+// A host that has just started knows the limits that other hosts were told. What one host was told reaches the others with
+// the state, and its end does, unless a host was told otherwise in the meantime.
+func TestLimitsReachHostsWithTheState(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	registration := newRegistration("u", 1, realm.Ready)
+	registration.Limit = 2
+	u := newUpstream(registration)
+	limit, ok := u.limit()
+	is.True(ok)
+	is.Equal(limit, 2.0)
+
+	u.learnLimit(now, 3)
+	limit, _ = u.limit()
+	is.Equal(limit, 3.0)
+	is.True(u.recordLimit(now, now.Add(3*time.Second), calls.ResponseInfo{IsSigned: true, Limit: 5, HasLimit: true}))
+	u.learnLimit(now.Add(4*time.Second), 0)
+	_, ok = u.limit()
+	is.True(ok) // this host was told of the limit after the others had seen its end
+	u.learnLimit(now.Add(10*time.Second), 0)
+	_, ok = u.limit()
+	is.True(!ok)
+}
+
+// What an entry host was told is reported until the state says the same, and a change of the limit does not prolong the
+// time in which a draining owner is still sent requests.
+func TestLimitsAreReported(t *testing.T) {
+	is := is.New(t)
+	f, _ := startFrontOf(t, true, newFaultyUpstream(t, nil))
+	state := f.view.Load().Upstream("u0")
+	u := f.upstreamFor(state.Upstream)
+	now := time.Now()
+	is.True(u.recordLimit(now, now, calls.ResponseInfo{IsSigned: true, Limit: 5, HasLimit: true}))
+	f.reportLimit(state.Instance)
+	change := []realm.LimitChange{{Instance: state.Instance, Limit: 5}}
+	is.Equal(f.takeCounts(false).Limits, change)
+	is.Equal(f.takeCounts(false).Limits, change)
+
+	seenAt := state.PhaseSeenAt
+	limited := state.Upstream
+	limited.Limit = 5
+	old := f.view.Load()
+	update := realm.Update{Index: old.Index + 1, Upstreams: []realm.Upstream{limited}}
+	later := now.Add(time.Minute)
+	f.setView(later, viewWith(t, old, later, update), old, update.Upstreams)
+	is.Equal(len(f.takeCounts(false).Limits), 0)
+	is.Equal(f.view.Load().Upstream("u0").PhaseSeenAt, seenAt)
+}
--- a/internal/front/scale_test.go
+++ b/internal/front/scale_test.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	f.setView(view, &View{}, nil)
+	f.setView(time.Now(), view, &View{}, nil)
 	return f
 }
 
@@ -89,7 +89,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		f.setView(next, view, update.Upstreams)
+		f.setView(time.Now(), next, view, update.Upstreams)
 	}
 }
 
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -72,7 +72,9 @@
 }
 
 func newUpstream(registration realm.Upstream) *upstream {
-	return &upstream{registration: registration, limiter: admit.NewLimiter[*waiter](registration.Slots())}
+	u := &upstream{registration: registration, limiter: admit.NewLimiter[*waiter](registration.Slots())}
+	u.notices.LearnLimit(time.Time{}, registration.Limit) // any response to this host is newer
+	return u
 }
 
 // acquire waits until the limiter admits a request. It returns a refusal if the request can't be served in time, and
--- a/internal/keyed/spread.go
+++ b/internal/keyed/spread.go
@@ -1,6 +1,9 @@
 package keyed
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Upstreams of one service differ in speed. At low utilization, load is biased towards the fast ones beyond the ratio
 // of their speeds, since a slow upstream responds late however little load it has. Near full utilization all upstreams
@@ -24,3 +27,16 @@
 
 // Capacity returns the biased capacity of an upstream with a number of slots, a relative speed and a bias from Bias.
 func Capacity(slots, speed, bias float64) float64 { return slots * math.Pow(speed, 1+bias) }
+
+// limitShare is the part of an upstream's limit that its keys are expected to use: demand varies from second to second.
+const limitShare = 0.8
+
+// Limited returns the capacity of an upstream that takes at most limit requests per second, of usually so much work; a
+// limit of 0 is none. The load pattern is a part of the upstreams that suddenly take half of what they got, while the
+// others have room: their keys move there, since requests for them have nowhere else to go.
+func Limited(capacity, limit float64, work time.Duration) float64 {
+	if limit <= 0 || work <= 0 {
+		return capacity
+	}
+	return min(capacity, limitShare*limit*work.Seconds())
+}
--- a/internal/realm/command.go
+++ b/internal/realm/command.go
@@ -8,6 +8,7 @@
 	AcceptPacked []byte         `json:"accept-packed,omitempty"` // AcceptConfig, compressed
 	Join         []Upstream     `json:"join,omitempty"`
 	SetPhase     []PhaseChange  `json:"enter,omitempty"`
+	SetLimits    []LimitChange  `json:"limits,omitempty"`
 	Assignments  []Assignment   `json:"assign,omitempty"`
 	SetActive    []ActiveChange `json:"take,omitempty"`
 	Forget       []Instance     `json:"forget,omitempty"`
@@ -26,6 +27,12 @@
 	Phase Phase `json:"phase"`
 }
 
+// LimitChange changes the limit that an upstream instance has named, in requests per second, 0 if it names none any more.
+type LimitChange struct {
+	Instance
+	Limit float64 `json:"limit"`
+}
+
 // Assignment assigns keys to an owner. It has no effect unless the current fencing token of all the keys is
 // ExpectedToken, or, where ExpectedToken is 0, none of the keys has an owner: a decision that is based on an outdated
 // state is ignored.
--- a/internal/realm/realm_test.go
+++ b/internal/realm/realm_test.go
@@ -271,3 +271,24 @@
 		}
 	})
 }
+
+// The limit that an upstream has named is part of the state: hosts that start later learn it, and it outlasts a time in
+// which the upstream was lost. Another instance under the same id has named none.
+func TestLimitOfAnUpstream(t *testing.T) {
+	is := is.New(t)
+	s, apply := newState(t)
+	u := newUpstream("u", 1, 1)
+	apply(Command{Join: []Upstream{u}})
+	index := s.Index
+	apply(Command{SetLimits: []LimitChange{{u.Instance, 2.5}, {newInstance("u", 2), 9}, {newInstance("unknown", 1), 9}}})
+	is.Equal(s.Upstreams["u"].Limit, 2.5)
+	is.Equal(s.Upstreams["u"].Changed, index+1) // sent to followers
+	apply(Command{SetLimits: []LimitChange{{u.Instance, 2.5}}})
+	is.Equal(s.Upstreams["u"].Changed, index+1) // nothing new
+	apply(Command{SetPhase: []PhaseChange{{u.Instance, Lost}}})
+	apply(Command{Join: []Upstream{u}})
+	is.Equal(s.Upstreams["u"].Phase, Ready)
+	is.Equal(s.Upstreams["u"].Limit, 2.5)
+	apply(Command{Join: []Upstream{newUpstream("u", 2, 1)}})
+	is.Equal(s.Upstreams["u"].Limit, 0.0)
+}
--- a/internal/realm/state.go
+++ b/internal/realm/state.go
@@ -51,6 +51,9 @@
 	for _, change := range command.SetPhase {
 		s.setPhase(change)
 	}
+	for _, change := range command.SetLimits {
+		s.setLimit(change)
+	}
 	s.assignAll(command.Assignments)
 	s.setActiveAll(command.SetActive)
 	for _, instance := range command.Forget {
@@ -104,10 +107,21 @@
 		}
 		other.Phase, other.Ended, other.Changed = Gone, true, s.Index
 	}
+	if current := s.Upstreams[u.ID]; current != nil && current.Instance == u.Instance {
+		u.Limit = current.Limit
+	}
 	u.Changed = s.Index
 	s.Upstreams[u.ID] = &u
 }
 
+func (s *State) setLimit(change LimitChange) {
+	u := s.Upstreams[change.ID]
+	if u == nil || u.Instance != change.Instance || u.Phase == Gone || u.Limit == change.Limit {
+		return
+	}
+	u.Limit, u.Changed = change.Limit, s.Index
+}
+
 func (s *State) setPhase(change PhaseChange) {
 	u := s.Upstreams[change.ID]
 	if u == nil || u.StartMillis != change.StartMillis || u.Phase == Gone || u.Phase == change.Phase {
--- a/internal/realm/upstream.go
+++ b/internal/realm/upstream.go
@@ -33,6 +33,7 @@
 	Concurrency int            `json:"slots"`
 	WarmFor     time.Duration  `json:"warm-for,omitempty"` // how long it remained slow after its start when it joined
 	Phase       Phase          `json:"phase"`
+	Limit       float64        `json:"limit,omitempty"` // requests per second that it takes from all hosts together, 0 if it names no limit
 	Ended       bool           `json:"ended,omitempty"` // another instance has its address, so its process has ended
 	Changed     uint64         `json:"changed"`         // log index of the last change
 }
