--- a/pkg/walog/file.go
+++ b/pkg/walog/file.go
@@ -1,7 +1,9 @@
 package walog
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 )
@@ -44,7 +46,10 @@
 }
 
 func (l *Log) writeSynced(path string, data []byte) error {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	file, err := l.open(path)
 	if err != nil {
 		return err
 	}
--- a/pkg/walog/log.go
+++ b/pkg/walog/log.go
@@ -38,7 +38,7 @@
 // Option configures a log.
 type Option func(*Log)
 
-// WithOpener makes the log open the log file through open, so that a test can make a sync fail.
+// WithOpener makes the log open the files that it writes through open, so that a test can make a write or a sync fail.
 func WithOpener(open Opener) Option {
 	return func(l *Log) { l.open = open }
 }
