Log why a control host can't open its replica again

After a failure of the disk the replica is opened again each 300 ms; the errors of that were dropped, so that a host which never came back looked like one that waits. One line for each new reason.

--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -81,13 +81,19 @@
 		}
 		_ = h.logger.Log("event", "disk-lost", "reason", current.replica.Err())
 		_ = current.replica.Stop()
+		lastReason := ""
 		for h.tomb.Alive() {
 			pause.For(h.tomb.Context(context.Background()), reopenInterval)
-			if err := h.open(time.Now()); err == nil {
+			err := h.open(time.Now())
+			if err == nil {
 				h.currentReplica().replica.Start()
 				_ = h.logger.Log("event", "disk-regained")
 				break
 			}
+			if reason := err.Error(); reason != lastReason {
+				_ = h.logger.Log("event", "disk-lost", "reason", reason)
+				lastReason = reason
+			}
 		}
 	}
 	return nil
