Count requests at a least rate where a limit is no number

A limit comes from other hosts' calls as well as from headers. One that is zero, negative or no number would have spoiled the bucket of its upstream for good.

--- a/internal/front/limits.go
+++ b/internal/front/limits.go
@@ -31,7 +31,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	limit, ok := u.notices.Limit()
-	return max(limit, quota.MinRate), ok
+	return max(limit, quota.MinRate), ok // the state has 0 for an upstream without a limit
 }
 
 // recordLimit records whether a response to a request that was sent at sentAt names a limit. It reports whether that
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -31,8 +31,9 @@
 	Retry time.Duration `json:"retry,omitempty"`
 }
 
-// Take withdraws one request at a rate of requests per second. The rate is positive.
+// Take withdraws one request at a rate of requests per second, at least MinRate.
 func (b *Bucket) Take(now time.Time, rate float64, rank int) Answer {
+	rate = atLeastMin(rate)
 	if b.updated.IsZero() {
 		b.level, b.updated = firstLevel, now
 	}
@@ -51,6 +52,14 @@
 	return answer
 }
 
+// atLeastMin returns the rate, or MinRate if it is lower or no number.
+func atLeastMin(rate float64) float64 {
+	if rate >= MinRate {
+		return rate
+	}
+	return MinRate
+}
+
 func inSeconds(seconds float64) time.Duration {
 	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -206,3 +207,15 @@
 	}
 	is.True(len(book.buckets) < 100)
 }
+
+// A rate that is no rate does not spoil a bucket: the next request is counted at the rate that it names.
+func TestRatesOfNoUseAreLow(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []float64{0, -1, math.NaN(), math.Inf(-1)} {
+		bucket, share := &Bucket{}, NewShare(epoch, 0)
+		bucket.Take(epoch, rate, 0)
+		is.True(!bucket.Take(epoch.Add(time.Second), rate, 0).OK)
+		is.True(bucket.Take(epoch.Add(2*time.Second), 5, 0).OK)
+		is.True(!share.Take(epoch.Add(time.Second), rate, 1).OK)
+	}
+}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -16,9 +16,9 @@
 // same, they would all send at the same time.
 func NewShare(now time.Time, level float64) *Share { return &Share{level: level, updated: now} }
 
-// Take withdraws one request at a rate of requests per second that is divided among a number of hosts.
+// Take withdraws one request at a rate of requests per second, at least MinRate, that is divided among a number of hosts.
 func (s *Share) Take(now time.Time, rate float64, hosts int) Answer {
-	own := alone * rate / float64(max(1, hosts))
+	own := alone * atLeastMin(rate) / float64(max(1, hosts))
 	if passed := now.Sub(s.updated).Seconds(); passed > 0 {
 		s.level = min(s.level+passed*own, 1)
 		s.updated = now
