--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -63,6 +65,7 @@
 	var k *keyManager
 	isLapsed := false
 	var nextPlan time.Time
+	var members paxos.Members
 	for {
 		select {
 		case <-h.tomb.Dying():
@@ -72,6 +75,10 @@
 		}
 		now := time.Now()
 		status, leads := h.leads(now)
+		if !slices.Equal(members, status.Members) {
+			members = status.Members
+			_ = h.logger.Log("event", "members", "members", strings.Join(h.memberNames(now), ","), "commit", status.Commit, "votes", members.Has(h.currentReplica().replica.Identify().ID))
+		}
 		if k != nil && k.ballot != status.Ballot {
 			_ = h.logger.Log("event", "leadership-lost", "ballot", k.ballot, "leader", status.Leader)
 			k.stop()
