Count the contact of a mirrored state from the request on

A control host without a vote took what it had been told for as recent as the moment at which the reply had arrived and was applied, which on a part of a core is up to a second later; entry hosts of its zone kept to it meanwhile. The same class as with hosts that lag behind: with the time of the source, and that of the entry host, it added up to more than the 2 s in which a change must be in force. It now counts from the request, which waits 150 ms in place of 300. TestMirrorContactCountsFromTheRequest failed with 'not true: !h.mirror.contactAt.After(arrivedAt)'.

--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -17,8 +17,9 @@
 const (
 	// mirrorWait is how long the followed host waits for changes before it responds. It is shorter than for an entry
 	// host, since others rely on this host's knowledge that the leader is reachable.
-	mirrorWait = 300 * time.Millisecond
-	// mirrorTimeout is how long the response may take, and for how long after it this host counts as in contact.
+	mirrorWait = 150 * time.Millisecond
+	// mirrorTimeout is how long nothing may arrive of the response, and for how long after its request this host counts as in
+	// contact.
 	mirrorTimeout       = 700 * time.Millisecond
 	mirrorRetryInterval = 50 * time.Millisecond
 	mirrorCheckInterval = 100 * time.Millisecond // between checks whether the replica of this host is in contact itself
@@ -29,17 +30,17 @@
 	store *realm.Store
 
 	mu        sync.Mutex
-	contactAt time.Time // when a host with a vote last responded that it is in contact with the leader
+	contactAt time.Time // when the request was sent to which a host with a vote last responded that it is current
 	leader    string    // leader of the log, according to that host
 }
 
 func newMirror() *mirror { return &mirror{store: realm.NewStore()} }
 
-// recordContact records that a host with a vote is in contact with a leader.
-func (m *mirror) recordContact(now time.Time, leader string) {
+// recordContact records that a host with a vote has responded to a request of sentAt that it is current.
+func (m *mirror) recordContact(sentAt time.Time, leader string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.contactAt, m.leader = now, leader
+	m.contactAt, m.leader = sentAt, leader
 }
 
 // contact returns the leader of the log, and whether a host with a vote was in contact with it lately.
@@ -85,6 +86,8 @@
 	if source == h.name {
 		return ErrUnavailable
 	}
+	// What the response says may have been so since the request; the response may be long on its way.
+	sentAt := time.Now()
 	request := FollowRequest{Since: h.mirror.store.Index(), Encoded: true, Mirror: true}
 	reply, err := peer.CallWhileReceiving[FollowReply](ctx, h.endpoint, source, "follow", request, mirrorTimeout)
 	if err != nil {
@@ -98,7 +101,7 @@
 		return err
 	}
 	if err := h.mirror.store.ApplyUpdate(update); err != nil {
-		request.Since = 0
+		request.Since, sentAt = 0, time.Now()
 		if reply, err = peer.CallWhileReceiving[FollowReply](ctx, h.endpoint, source, "follow", request, mirrorTimeout); err != nil {
 			return err
 		}
@@ -109,7 +112,7 @@
 			return err
 		}
 	}
-	h.mirror.recordContact(time.Now(), reply.Leader)
+	h.mirror.recordContact(sentAt, reply.Leader)
 	return nil
 }
 
--- a/internal/core/mirror_test.go
+++ b/internal/core/mirror_test.go
@@ -167,3 +167,27 @@
 	defer u.mu.Unlock()
 	is.NoErr(u.violation)
 }
+
+// A mirrored state counts as recent from the request on: the response may have been on its way for as long as it likes.
+func TestMirrorContactCountsFromTheRequest(t *testing.T) {
+	is := is.New(t)
+	h, _ := restartedHost(t, 45)
+	if err := h.endpoint.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.endpoint.Stop)
+	address := loopback(46, 29201)
+	source := peer.NewDynamic(peer.TCP{}, address.String(), address)
+	var arrivedAt time.Time
+	peer.HandleTyped(source, "follow", func(context.Context, string, FollowRequest) (FollowReply, error) {
+		arrivedAt = time.Now()
+		time.Sleep(50 * time.Millisecond)
+		return FollowReply{LeaderReachable: true, IsReplica: true, Update: &realm.Update{}}, nil
+	})
+	if err := source.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(source.Stop)
+	is.NoErr(h.mirrorFrom(context.Background(), address.String()))
+	is.True(!h.mirror.contactAt.After(arrivedAt))
+}
