Propose a configuration once, however often it is asked for meanwhile

Cause: the host that receives an order asks the leader again after 400 ms, and the operator sends it again after a second. The leader proposed it each time: an entry of 50 KB more, which each control host has to store and to decode before the next. The same class as with slow replicas: work that is begun again because it has not ended in time.

Calls for a version with the same text now wait for the proposal under way, which goes on when nobody waits.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	announced    map[string]time.Time // time of the last announcement, by name of the control host
 	hostList     hostList
 	reports      Report                     // of entry hosts, to be forwarded to the leader
+	configOrders map[uint64]*configOrder    // by version, while this host leads
 	limits       map[realm.Instance]float64 // reported limits that are not in the log yet, in requests per second
 	loads        map[string]*keyed.Loads
 	serviceTimes *keyed.ServiceTimes
@@ -71,7 +72,7 @@
 	h := &Host{
 		site: host, seeds: host.Seeds, name: host.PeerName(host.Control), endpoint: endpoint, newClient: newClient, suspends: suspends, logger: logger,
 		feed: newFeed(), mirror: newMirror(), quotas: quota.NewBook[realm.Instance](), announced: make(map[string]time.Time), packsConfigs: map[string]bool{host.PeerName(host.Control): true}, joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
-		zones: map[string]string{host.PeerName(host.Control): host.Zone}, entryHosts: make(map[string]time.Time), limits: make(map[realm.Instance]float64), loads: make(map[string]*keyed.Loads), serviceTimes: keyed.NewServiceTimes(),
+		zones: map[string]string{host.PeerName(host.Control): host.Zone}, entryHosts: make(map[string]time.Time), configOrders: make(map[uint64]*configOrder), limits: make(map[realm.Instance]float64), loads: make(map[string]*keyed.Loads), serviceTimes: keyed.NewServiceTimes(),
 	}
 	if err := h.open(now); err != nil {
 		return nil, err
--- a/internal/core/propose.go
+++ b/internal/core/propose.go
@@ -48,11 +48,8 @@
 		// The host that forwards the command has just received a heartbeat of the upstream.
 		h.recordHeartbeats(time.Now(), u.Instance)
 	}
-	if command.AcceptConfig != nil && h.allUnderstandPacked(time.Now()) {
-		var err error
-		if command, err = realm.NewAcceptPacked(command.AcceptConfig); err != nil {
-			return proposeReply{}, err
-		}
+	if command.AcceptConfig != nil {
+		return proposeReply{OK: true}, h.proposeConfig(ctx, time.Now(), command.AcceptConfig)
 	}
 	return proposeReply{OK: true}, h.propose(ctx, paxos.Ballot{}, command)
 }
