Give a large order to the leader the time that it takes

Orders that came to the leader took 250 to 410 ms.

Cause: a call to the leader was given up after 400 ms, two of them after 800, however large the order. The bounds now grow with its size, by a second for 256 KB. TestForwardedLargeOrderIsAcknowledged failed with 'this host has no contact with the leader of the control log'.

--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -146,7 +146,7 @@
 	if !h.hasLeaderContact(now) {
 		return ErrUnavailable
 	}
-	_, err := askLeader(ctx, h, "leave", leaveRequest{ID: id}, func(r proposeReply) (bool, string) { return r.OK, r.Leader })
+	_, err := askLeader(ctx, h, "leave", usualTimes, leaveRequest{ID: id}, readProposeReply)
 	return err
 }
 
--- a/internal/core/order_test.go
+++ b/internal/core/order_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/matryer/is"
 
+	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/realm"
 	"lovagelink.example/lovagelink/internal/route"
+	"lovagelink.example/lovagelink/pkg/paxos"
 )
 
 // An order that is sent again while it is being replicated becomes one entry of the log, also if nobody waits for the first
@@ -52,3 +54,33 @@
 	h.Read(func(s *realm.State) { is.True(string(s.Body) == "a" || string(s.Body) == "b") })
 	is.Equal(len(h.configOrders), 0)
 }
+
+// A host that does not lead acknowledges an order that takes the leader longer than a usual call: with thousands of routes
+// encoding, replication and the call itself take more than half a second on a part of a core.
+func TestForwardedLargeOrderIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	h, held := restartedHost(t, 49)
+	if err := h.endpoint.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.endpoint.Stop)
+	address := loopback(50, 29201)
+	leader := peer.NewDynamic(peer.TCP{}, address.String(), address)
+	peer.HandleTyped(leader, "order", func(context.Context, string, realm.Command) (proposeReply, error) {
+		time.Sleep(600 * time.Millisecond)
+		return proposeReply{OK: true}, nil
+	})
+	if err := leader.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(leader.Stop)
+	replica := h.currentReplica().replica
+	ballot := paxos.Ballot{Round: 100, Name: address.String()}
+	_, err := replica.HandleAccept(time.Now(), paxos.AcceptArgs{
+		To: replica.Identify().ID, Ballot: ballot, Prev: held, BallotStart: held + 1, Commit: held + 1,
+		Entries: []paxos.Entry{{Index: held + 1, Ballot: ballot, Kind: paxos.KindNoop}},
+	})
+	is.NoErr(err)
+	is.Equal(h.leaderName(time.Now()), address.String())
+	is.NoErr(h.AcceptConfig(context.Background(), time.Now(), route.Config{Version: 5}, make([]byte, 170<<10)))
+}
--- a/internal/core/propose.go
+++ b/internal/core/propose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagelink.example/lovagelink/internal/pause"
+	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/realm"
 	"lovagelink.example/lovagelink/internal/route"
 	"lovagelink.example/lovagelink/pkg/paxos"
@@ -30,15 +31,29 @@
 	if version >= config.Version {
 		return nil
 	}
-	return h.proposeViaLeader(ctx, realm.Command{AcceptConfig: &realm.AcceptConfig{Config: config, Body: body}})
+	command := realm.Command{AcceptConfig: &realm.AcceptConfig{Config: config, Body: body}}
+	_, err := askLeader(ctx, h, "order", orderTimes(len(body)), command, readProposeReply)
+	return err
+}
+
+// orderRate is the least number of bytes of a configuration per second that a host sends to the leader, which encodes and
+// replicates them.
+const orderRate = 256 << 10
+
+// orderTimes returns the time limits of an order with some bytes. Callers wait longer for a large one, too.
+func orderTimes(bytes int) leaderTimes {
+	more := time.Duration(bytes) * time.Second / orderRate
+	return leaderTimes{call: callTimeout + more, all: leaderTimeout + more}
 }
 
 // proposeViaLeader proposes a command through the leader. After an error the command may or may not be in the log.
 func (h *Host) proposeViaLeader(ctx context.Context, command realm.Command) error {
-	_, err := askLeader(ctx, h, "order", command, func(r proposeReply) (bool, string) { return r.OK, r.Leader })
+	_, err := askLeader(ctx, h, "order", usualTimes, command, readProposeReply)
 	return err
 }
 
+func readProposeReply(r proposeReply) (bool, string) { return r.OK, r.Leader }
+
 func (h *Host) handlePropose(ctx context.Context, _ string, command realm.Command) (proposeReply, error) {
 	status, leads := h.leads(time.Now())
 	if !leads {
@@ -89,7 +104,7 @@
 			request.Version = s.Version()
 		}
 	})
-	reply, err := askLeader(ctx, h, "current", request, func(r configReply) (bool, string) { return r.OK, r.Leader })
+	reply, err := askLeader(ctx, h, "current", usualTimes, request, func(r configReply) (bool, string) { return r.OK, r.Leader })
 	switch {
 	case err != nil:
 		return nil, err
@@ -118,10 +133,15 @@
 	return reply, nil
 }
 
+// leaderTimes limits the time of each call to the leader, and that of all of them.
+type leaderTimes struct{ call, all time.Duration }
+
+var usualTimes = leaderTimes{call: callTimeout, all: leaderTimeout}
+
 // askLeader calls the leader, or members in turn while the leader is unknown, until the leader has replied. The
 // function read reports whether a reply is the leader's, and the leader that another host names.
-func askLeader[R any](ctx context.Context, h *Host, method string, args any, read func(R) (bool, string)) (R, error) {
-	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+func askLeader[R any](ctx context.Context, h *Host, method string, times leaderTimes, args any, read func(R) (bool, string)) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, times.all)
 	defer cancel()
 	var zero R
 	target := h.leaderName(time.Now())
@@ -133,7 +153,9 @@
 			}
 			target = members[turn%len(members)].Name
 		}
-		reply, err := callWithTimeout[R](ctx, h, target, method, args)
+		callCtx, cancelCall := context.WithTimeout(ctx, times.call)
+		reply, err := peer.Call[R](callCtx, h.endpoint, target, method, args)
+		cancelCall()
 		if err == nil {
 			ok, leader := read(reply)
 			if ok {
