--- a/review/rig/ownership.go
+++ b/review/rig/ownership.go
@@ -15,7 +15,7 @@
 	callRate    = 60              // requests a second
 	keyedCount  = 8
 	plainCount  = 2
-	targetWork  = 30 * time.Millisecond
+	targetWork  = 120 * time.Millisecond // as for the views of the users' sheet
 )
 
 // playServiceReturns has the operator send a configuration without the service that is divided by key, and then one that
