--- a/review/rig/stop.go
+++ b/review/rig/stop.go
@@ -27,14 +27,21 @@
 	signoffLimit   = 6 * time.Second
 	signoffTargets = 8
 	stopCallers    = 60 // for each entry host, each with a kept connection and one request at a time
+	stopRounds     = 2  // times that each entry host is stopped
 	settleTime     = 15 * time.Second
-	restTime       = 6 * time.Second // after the start of an entry host
+	restTime       = 4 * time.Second // after the start of an entry host
 	grace          = 6 * time.Second
 	lastSixth      = 5 * time.Second
 	lateRequest    = 3 * time.Second // requests sent later than that after SIGTERM have no excuse
 	lossSlack      = 200 * time.Millisecond
 )
 
+// stop is a SIGTERM of an entry host.
+type stop struct {
+	front *machine
+	term  time.Time
+}
+
 // drawSignoff returns the work of a sign-off, which varies as the sheet says.
 func drawSignoff() time.Duration {
 	work := float64(signoffWork) * math.Exp(signoffSpread*rand.NormFloat64()-signoffSpread*signoffSpread/2)
@@ -102,15 +109,19 @@
 		}
 	}
 	time.Sleep(settleTime)
-	terms := make(map[*machine]time.Time)
-	for _, m := range s.fronts {
-		if trouble {
-			terms[m] = time.Now()
-			if err := s.stopAndStart(m); err != nil {
-				return false, err
+	var stops []stop
+	for range stopRounds {
+		for _, m := range s.fronts {
+			stops = append(stops, stop{m, time.Now()}) // without the trouble, the same requests are judged
+			if trouble {
+				if err := s.stopAndStart(m); err != nil {
+					return false, err
+				}
+			} else {
+				time.Sleep(grace)
 			}
+			time.Sleep(restTime)
 		}
-		time.Sleep(restTime)
 	}
 	cancel()
 	all.Wait()
@@ -118,7 +129,7 @@
 		return false, errors.New("no request was served")
 	}
 	s.record.say("%d requests were served", served)
-	return judgeStop(s, requests, targets, terms), nil
+	return judgeStop(s, requests, targets, stops), nil
 }
 
 // stopAndStart sends SIGTERM to the process of a machine, kills it after the grace, and starts it again.
@@ -172,9 +183,19 @@
 	return r, pause
 }
 
+// stopOf returns when the entry host of a request got the SIGTERM around which the request has ended, if there is one.
+func stopOf(r stopRequest, stops []stop) (term time.Time, ok bool) {
+	for _, s := range stops {
+		if s.front == r.front && !r.over.Before(s.term) && r.over.Before(s.term.Add(grace+time.Second)) {
+			return s.term, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // judgeStop reports whether a request was lost around the SIGTERM, by the rule LOST: the entry host had read it, and its
 // connection ended without a complete answer, without one of the excuses of the rule.
-func judgeStop(s *system, requests []stopRequest, targets []*target, terms map[*machine]time.Time) bool {
+func judgeStop(s *system, requests []stopRequest, targets []*target, stops []stop) bool {
 	ended, arrived := make(map[string]time.Time), make(map[string]bool)
 	for _, t := range targets {
 		t.mu.Lock()
@@ -186,8 +207,8 @@
 	}
 	lost := 0
 	for _, r := range requests {
-		term, wasStopped := terms[r.front]
-		if r.status != 0 || !wasStopped || r.over.Before(term) || r.over.After(term.Add(grace+time.Second)) {
+		term, wasStopped := stopOf(r, stops)
+		if r.status != 0 || !wasStopped {
 			continue
 		}
 		held := r.over.Sub(r.sent)
