Answer the requests that wait when an entry host is stopped

Callers of a host that was stopped under load saw connections end without an answer 5.3 s after SIGTERM, 0.7 s before the end of the grace.

Cause: Front.Stop waited until 0.7 s before the end of the grace and then ended the process. Requests that waited in a queue of this host, or in that of an upstream, were not told: nothing bounded their wait by the time that the host had left, and they were given to upstreams with time that the host did not have.

Change: admit.Shutdown decides what a stopping host still starts. Requests in queues are refused with 503 once their upstream could not respond in time, deadlines given to upstreams end before the host does, and what is still open 0.7 s before the end of the grace gets its answer at once: 503 if nothing was sent, 504 otherwise.

--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -48,9 +48,10 @@
 	return &Limiter[T]{slots: max(1, slots), limit: float64(max(1, slots)), queue: queue.New[T](make([]float64, Ranks)...)}
 }
 
-// Refusal reports that a request can't be served in time, and after what time to retry.
+// Refusal reports that a request can't be served in time, after what time to retry, and why.
 type Refusal struct {
-	After time.Duration
+	After  time.Duration
+	Reason string
 }
 
 // Enqueue queues a request with a latency target and its caller's deadline. A request that is estimated to be late is
@@ -63,7 +64,7 @@
 	onTarget := time.Duration(targetShare*float64(target.Sub(now))) - latency
 	inTime := time.Duration(callerShare*float64(deadline.Sub(now))) - latency
 	if wait > 0 && (wait > max(onTarget, latency/2) || wait > inTime) {
-		return nil, &Refusal{After: wait}
+		return nil, &Refusal{After: wait, Reason: "overload: it would be late"}
 	}
 	return l.queue.Push(now, value, rank, deadline), nil
 }
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -33,6 +33,7 @@
 func (f *Front) forward(ctx context.Context, c *call) *outcome {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	defer context.AfterFunc(f.closing, cancel)()
 	// While this host stops, a request behind another one is not sent either: its answer would wait for that of the other,
 	// which the end of the process may cut. The caller sends again what stands behind an answer that closes.
 	if c.route.Repeat != route.Idempotent || f.draining.Load() {
@@ -47,6 +48,7 @@
 	}
 	for {
 		now := time.Now()
+		c.deadline = f.boundDeadline(c.deadline)
 		if c.deadline.Sub(now) < minTimeLeft {
 			return c.timeOut()
 		}
@@ -59,7 +61,7 @@
 		}
 		overload, ok := u.acquire(ctx, now, c.route.Rank, c.exchange.Arrived.Add(c.route.LatencyTarget), c.deadline)
 		if overload != nil {
-			return c.refuse(overload.After, "overload: it would be late")
+			return c.refuse(overload.After, overload.Reason)
 		}
 		if !ok {
 			return c.timeOut()
@@ -80,6 +82,11 @@
 			u.releasePermit(now)
 			continue
 		}
+		c.deadline = f.boundDeadline(c.deadline) // the stop may have begun while the request waited
+		if !f.mayStart(now, u) {
+			u.releasePermit(now)
+			return c.refuse(stopRefusal.After, stopRefusal.Reason)
+		}
 		if c.sent > 0 && !f.mayRetry(now, c.service.Name) {
 			u.releasePermit(now)
 			return c.fail("no more requests may be sent again at present")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,7 +17,6 @@
 	"lovagelink.example/lovagelink/internal/core"
 	"lovagelink.example/lovagelink/internal/http1"
 	"lovagelink.example/lovagelink/internal/meter"
-	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/peer"
 	"lovagelink.example/lovagelink/internal/quota"
 	"lovagelink.example/lovagelink/internal/realm"
@@ -35,10 +34,13 @@
 	tomb            tomb.Tomb
 	view            atomic.Pointer[View]
 	draining        atomic.Bool
-	followed        atomic.Value // name of the control host that is followed, a string
-	hostsMark       uint64       // of the list of control hosts that this host has; used by the task that follows only
-	leaderReachable atomic.Bool  // the followed control host is in contact with the leader
-	refusing        atomic.Bool  // new requests are refused, since they would not end before the process does
+	followed        atomic.Value                   // name of the control host that is followed, a string
+	hostsMark       uint64                         // of the list of control hosts that this host has; used by the task that follows only
+	leaderReachable atomic.Bool                    // the followed control host is in contact with the leader
+	refusing        atomic.Bool                    // new requests are refused, since they would not end before the process does
+	shutdown        atomic.Pointer[admit.Shutdown] // nil until this host is stopped
+	closing         context.Context                // ends when the requests in progress have to be responded to at once
+	endRequests     context.CancelFunc             // ends closing
 	stats           stats
 	meter           atomic.Pointer[meter.Meter]
 	leavers         chan realm.Instance // upstreams that have said that they are leaving, to be reported
@@ -72,6 +74,7 @@
 		keyCounts: make(map[string]map[int]int), hostCount: initialHostCount,
 		uncountedAt: make(map[string]time.Time), unreportedLimits: make(map[realm.Instance]bool),
 	}
+	f.closing, f.endRequests = context.WithCancel(context.Background())
 	f.view.Store(&View{})
 	hash := fnv.New32a()
 	hash.Write([]byte(host.Name))
@@ -165,49 +168,3 @@
 		f.sources.Add(core.Member{Name: name})
 	}
 }
-
-// Timing of a stop. The load balancer sends new connections elsewhere after two failed readiness checks, which are a
-// second apart. Requests in flight must end stopMargin before the end of the grace period, by which the process must
-// have ended.
-const (
-	rotationTime = 2600 * time.Millisecond
-	// For lastRequestTime after rotationTime, requests on open connections are still accepted. Later ones would not end
-	// in time.
-	lastRequestTime  = 400 * time.Millisecond
-	stopMargin       = 700 * time.Millisecond
-	idlePollInterval = 100 * time.Millisecond
-)
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// awaitIdle closes idle connections and waits until no request is in flight, at most until the deadline.
-func (f *Front) awaitIdle(ctx context.Context, deadline time.Time) {
-	for time.Now().Before(deadline) {
-		f.server.CloseIdle()
-		if _, busy := f.server.Count(); busy == 0 {
-			return
-		}
-		pause.For(ctx, idlePollInterval)
-	}
-}
-
-// Stop lets the requests in flight end. It stops listening only after the load balancer sends no more connections.
-func (f *Front) Stop(now time.Time) {
-	f.draining.Store(true)
-	f.server.Drain()
-	ctx := context.Background()
-	pause.For(ctx, min(rotationTime, f.site.Bounds.Grace/2))
-	deadline := now.Add(f.site.Bounds.Grace - stopMargin)
-	f.awaitIdle(ctx, earlier(deadline, now.Add(rotationTime+lastRequestTime)))
-	f.refusing.Store(true)
-	f.awaitIdle(ctx, deadline)
-	f.server.DiscardNew() // from now on no request begins that the end of the process would interrupt
-	f.awaitIdle(ctx, deadline)
-	f.tomb.Kill(nil)
-	_ = f.tomb.Wait()
-}
--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -210,15 +210,15 @@
 	defer u.mu.Unlock()
 	if info.Pause > 0 {
 		u.notices.RecordPause(now, info.Pause)
-		u.refuseWaiters(now)
+		u.refuseWaiters(admit.Refusal{After: u.notices.PauseLeft(now), Reason: "the upstream wants no requests for a while"})
 	}
 	return info.IsLeaving && u.notices.RecordLeaving(now)
 }
 
-// refuseWaiters refuses all queued requests, since the upstream wants none for a while. The caller holds u.mu.
-func (u *upstream) refuseWaiters(now time.Time) {
+// refuseWaiters refuses all queued requests. The caller holds u.mu.
+func (u *upstream) refuseWaiters(refusal admit.Refusal) {
 	for _, item := range u.limiter.WithdrawAll() {
-		item.Value.refusal = &admit.Refusal{After: u.notices.PauseLeft(now)}
+		item.Value.refusal = &refusal
 		close(item.Value.start)
 	}
 }
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -210,6 +210,12 @@
 	return c.pending > 0 || c.reading
 }
 
+func (c *conn) isUnanswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending > 0
+}
+
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -114,6 +114,16 @@
 	return len(conns), busy
 }
 
+// Unanswered returns the number of connections on which a request has been read whole and has no complete response yet.
+func (s *Server) Unanswered() (count int) {
+	for _, c := range s.connections() {
+		if c.isUnanswered() {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *Server) connections() []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
