Close the connection of a request that a stopping host discards

A caller whose request was read just before a host ended got no answer and saw its connection end only when the process did: up to 0.7 s later while the host still waited for other connections.

Cause: after DiscardNew the server read requests, dropped them and kept their connections open.

Evidence: TestDiscardedRequestEndsItsConnection failed on the code before with a timeout of 5 s on such a connection.

Change: the connection is closed as soon as a request is discarded, after the responses to earlier requests on it. The caller may send it again at once.

After: the test passes.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -57,8 +57,15 @@
 			return
 		}
 		c.inFlight <- struct{}{}
-		if !c.admit(x) {
-			continue // discarded, or behind a response that closes the connection: the caller sends it again
+		if !c.admit(x) { // the caller sends it again
+			if !c.server.isDiscarding() {
+				continue // it stands behind a response that closes the connection
+			}
+			handlers.Wait()
+			if c.isClosed() {
+				c.linger()
+			}
+			return
 		}
 		handlers.Go(func() {
 			c.server.handle(ctx, x)
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -170,6 +170,39 @@
 	is.Equal(len(started), 0)
 }
 
+// Guards against requests that stay unanswered until the process ends: the connection of a discarded request is closed at
+// once, but not before the responses to earlier requests on it.
+func TestDiscardedRequestEndsItsConnection(t *testing.T) {
+	is := is.New(t)
+	started, finish := make(chan struct{}), make(chan struct{})
+	server, address := startServer(t, func(_ context.Context, x *Exchange) {
+		close(started)
+		<-finish
+		x.Reply(http.StatusOK, http.Header{}, []byte("first"))
+	})
+	earlier, r := dial(t, address)
+	_, err := io.WriteString(earlier, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	<-started
+	server.Drain()
+	server.DiscardNew()
+	_, err = io.WriteString(earlier, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	other, otherReader := dial(t, address)
+	_, err = io.WriteString(other, "GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(other.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = otherReader.ReadByte()
+	is.Equal(err, io.EOF) // while the first request is in progress
+	close(finish)
+	status, body, _ := readResponse(t, r)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "first")
+	is.NoErr(earlier.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
 // The server detects that a caller has left even if the request asked for the connection to be closed.
 func TestCallerThatClosesIsSeenToLeave(t *testing.T) {
 	left, started := make(chan struct{}), make(chan struct{})
