Keep the owners of a service that leaves the configuration

Upstreams of a service that had left the configuration, or was no longer divided by key, and returned a second later held keys together: two owners of most keys for as long as the earlier grants lasted.

Cause: accepting a configuration deleted the ownership of such a service. The planner took its keys for keys that never had an owner and assigned them at once, and a new leader, which learns from the ownership whom its predecessor granted keys, did not know of these grants either.

Change: such a service keeps its owners. It gets no more grants, and the leader withdraws the ownership once the last grant has expired; a service that returns earlier goes on with the owners that it had. A withdrawal names the configuration under which it was decided, so that it can't meet a service that has returned. The log says which configurations keep owners, so that entries of an earlier release are replayed with the effect that they had, and leaders use it only when all members understand it, as with compressed configurations.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,10 +52,10 @@
 	replicaStore *replicaStore
 	joinRequests map[string]time.Time // time of the last join request, by name of the host that wants to be a member
 	heartbeats   *heartbeats
-	zones        map[string]string    // availability zone by name of the control host
-	packsConfigs map[string]bool      // whether a control host understands compressed configurations, by name
-	entryHosts   map[string]time.Time // time of the last report, by name of the entry host
-	announced    map[string]time.Time // time of the last announcement, by name of the control host
+	zones        map[string]string           // availability zone by name of the control host
+	understood   map[feature]map[string]bool // whether a control host understands a feature, by name
+	entryHosts   map[string]time.Time        // time of the last report, by name of the entry host
+	announced    map[string]time.Time        // time of the last announcement, by name of the control host
 	hostList     hostList
 	reports      Report                     // of entry hosts, to be forwarded to the leader
 	configOrders map[uint64]*configOrder    // by version, while this host leads
@@ -71,7 +71,7 @@
 func New(now time.Time, host site.Host, endpoint *peer.Endpoint, newClient func() UpstreamClient, suspends *clock.SuspendDetector, logger log.Logger) (*Host, error) {
 	h := &Host{
 		site: host, seeds: host.Seeds, name: host.PeerName(host.Control), endpoint: endpoint, newClient: newClient, suspends: suspends, logger: logger,
-		feed: newFeed(), mirror: newMirror(), quotas: quota.NewBook[realm.Instance](), announced: make(map[string]time.Time), packsConfigs: map[string]bool{host.PeerName(host.Control): true}, joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
+		feed: newFeed(), mirror: newMirror(), quotas: quota.NewBook[realm.Instance](), announced: make(map[string]time.Time), understood: newFeatures(host.PeerName(host.Control)), joinRequests: make(map[string]time.Time), heartbeats: newHeartbeats(),
 		zones: map[string]string{host.PeerName(host.Control): host.Zone}, entryHosts: make(map[string]time.Time), configOrders: make(map[uint64]*configOrder), limits: make(map[realm.Instance]float64), loads: make(map[string]*keyed.Loads), serviceTimes: keyed.NewServiceTimes(),
 	}
 	if err := h.open(now); err != nil {
@@ -83,7 +83,7 @@
 	peer.HandleTyped(endpoint, "heard", h.handleHeartbeats)
 	peer.HandleTyped(endpoint, "hello", h.handleJoinRequest)
 	peer.HandleTyped(endpoint, "zone", h.handleZone)
-	peer.HandleTyped(endpoint, "understands-packed", h.handleUnderstandsPacked)
+	offerFeatures(endpoint)
 	peer.HandleTyped(endpoint, "announce", h.handleAnnouncement)
 	peer.HandleTyped(endpoint, "leave", h.handleLeave)
 	peer.HandleTyped(endpoint, "leavers", h.handleLeavers)
--- a/internal/core/granting.go
+++ b/internal/core/granting.go
@@ -29,6 +29,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for service, ownership := range s.Ownership {
+		if !s.IsKeyed(service) {
+			continue
+		}
 		for _, r := range ownership.Ranges {
 			u := s.Upstreams[r.Owner.ID]
 			if u == nil || u.Instance != r.Owner || u.Ended {
@@ -198,9 +201,11 @@
 	t.trigger()
 }
 
+// rangesOf returns the ranges to grant. A service that is no longer divided by key gets no grants, so that its owners lose
+// their keys.
 func rangesOf(s *realm.State, t *grantTask) (ranges []realm.Range) {
 	ownership := s.Ownership[t.service]
-	if ownership == nil {
+	if ownership == nil || !s.IsKeyed(t.service) {
 		return nil
 	}
 	for _, r := range ownership.Ranges {
@@ -241,10 +246,10 @@
 	return ok && current.KeyRange == r.KeyRange && current.Owner == r.Owner && current.FencingToken == r.FencingToken
 }
 
-// rangeAt returns the range that contains a key at present, if the key has an owner.
+// rangeAt returns the range that contains a key at present, if the service is divided by key and the key has an owner.
 func (h *Host) rangeAt(service string, key uint16) (found realm.Range, ok bool) {
 	h.Read(func(s *realm.State) {
-		if ownership := s.Ownership[service]; ownership != nil {
+		if ownership := s.Ownership[service]; ownership != nil && s.IsKeyed(service) {
 			if r := ownership.Ranges.At(key); r != nil {
 				found, ok = *r, true
 			}
--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -179,6 +179,7 @@
 		}
 		plans[service] = k.planService(now, upstreams, service, ranges)
 	}
+	command.Withdrawals = k.withdrawals(now, &s)
 	command.SetLimits = k.host.takeLimits(s.Upstreams)
 	k.updateTasks(&s)
 	defer func() { k.endMoves(command.Assignments) }()
@@ -189,13 +190,17 @@
 		}
 	}
 	took = time.Since(now)
-	if len(command.Assignments)+len(command.SetPhase)+len(command.SetLimits)+len(command.Forget) == 0 {
+	if len(command.Assignments)+len(command.SetPhase)+len(command.SetLimits)+len(command.Forget)+len(command.Withdrawals) == 0 {
 		return took
 	}
 	for _, assignment := range command.Assignments {
 		_ = k.host.logger.Log("event", "keys-assigned", "service", assignment.Service, "from", assignment.Keys.From, "to", assignment.Keys.To,
 			"owner", assignment.Owner.ID, "born", assignment.Owner.StartMillis, "was", assignment.ExpectedToken)
 	}
+	for _, w := range command.Withdrawals {
+		_ = k.host.logger.Log("event", "keys-withdrawn", "service", w.Service, "accepted", w.ConfigIndex,
+			"reason", "the service is no longer divided by key, and its grants have expired")
+	}
 	for _, change := range command.SetLimits {
 		_ = k.host.logger.Log("event", "upstream-limits", "upstream", change.ID, "born", change.StartMillis, "limit", change.Limit)
 	}
@@ -203,6 +208,19 @@
 	return took
 }
 
+// withdrawals returns the services that are no longer divided by key and of which no grant can still be in force.
+func (k *keyManager) withdrawals(now time.Time, s *realm.State) (withdrawals []realm.Withdrawal) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for service, ownership := range s.Ownership {
+		isGranted := slices.ContainsFunc(ownership.Ranges, func(r realm.Range) bool { return !k.tracker.GrantsExpired(now, r.Owner) })
+		if !s.IsKeyed(service) && !isGranted {
+			withdrawals = append(withdrawals, realm.Withdrawal{Service: service, ConfigIndex: s.ConfigIndex})
+		}
+	}
+	return withdrawals
+}
+
 // proposeUntilKnown proposes a command until its outcome is known or the tenure is over. Until then the keys may or may
 // not have a new owner, so neither owner may be sent a grant.
 func (k *keyManager) proposeUntilKnown(command realm.Command) {
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -58,12 +58,13 @@
 // proposeNew proposes a configuration, compressed if all members understand it.
 func (h *Host) proposeNew(now time.Time, accept *realm.AcceptConfig) error {
 	command := realm.Command{AcceptConfig: accept}
-	if h.allUnderstandPacked(now) {
+	if h.allUnderstand(now, packedConfigs) {
 		var err error
 		if command, err = realm.NewAcceptPacked(accept); err != nil {
 			return err
 		}
 	}
+	command.KeepOwners = h.allUnderstand(now, keptOwners)
 	data, err := json.Marshal(command)
 	if err != nil {
 		return err
--- a/internal/core/zones.go
+++ b/internal/core/zones.go
@@ -31,7 +31,7 @@
 	for h.tomb.Alive() {
 		for _, member := range h.membersWithZones(time.Now()) {
 			if ctx.Err() == nil {
-				h.learnPacked(ctx, member.Name)
+				h.learnFeatures(ctx, member.Name)
 			}
 		}
 		for _, member := range h.membersWithZones(time.Now()) {
--- a/internal/realm/command.go
+++ b/internal/realm/command.go
@@ -6,6 +6,7 @@
 type Command struct {
 	AcceptConfig *AcceptConfig  `json:"accept,omitempty"`
 	AcceptPacked []byte         `json:"accept-packed,omitempty"` // AcceptConfig, compressed
+	KeepOwners   bool           `json:"keep-owners,omitempty"`   // services that the configuration no longer divides by key keep their owners until a Withdrawal
 	Join         []Upstream     `json:"join,omitempty"`
 	SetPhase     []PhaseChange  `json:"enter,omitempty"`
 	SetLimits    []LimitChange  `json:"limits,omitempty"`
@@ -13,6 +14,7 @@
 	SetActive    []ActiveChange `json:"take,omitempty"`
 	Forget       []Instance     `json:"forget,omitempty"`
 	RenewTokens  []Instance     `json:"fence,omitempty"` // owners whose keys get a new fencing token
+	Withdrawals  []Withdrawal   `json:"withdraw,omitempty"`
 }
 
 // AcceptConfig puts a configuration in force, unless the one in force has the same or a higher version.
@@ -53,6 +55,13 @@
 	Active       bool     `json:"active"`
 }
 
+// Withdrawal ends the ownership of a service that is no longer divided by key, once all its grants have expired. It has no
+// effect if another configuration has come into force since.
+type Withdrawal struct {
+	Service     string `json:"service"`
+	ConfigIndex uint64 `json:"accepted"` // log index of the configuration that does not divide the service by key
+}
+
 // Result is the result of a command.
 type Result struct {
 	Version uint64 `json:"version,omitempty"` // of the configuration in force
--- a/internal/realm/realm_test.go
+++ b/internal/realm/realm_test.go
@@ -221,6 +221,42 @@
 	is.Equal(other.Since(0), store.Since(0))
 }
 
+// Guards against keys that are assigned anew while their earlier grants are in force: a service that leaves the
+// configuration keeps its owners until a withdrawal that was decided under that very configuration. A command of an earlier
+// release has the effect that it had there.
+func TestOwnersOfServiceThatLeaves(t *testing.T) {
+	is := is.New(t)
+	s, apply := newState(t)
+	version := uint64(10)
+	accept := func(keepOwners bool, services ...route.Service) {
+		version++
+		apply(Command{AcceptConfig: &AcceptConfig{Config: route.Config{Version: version, Services: services}}, KeepOwners: keepOwners})
+	}
+	keyed := route.Service{Name: "s", Keyed: true}
+	accept(true, keyed)
+	apply(Command{Assignments: []Assignment{{Service: "s", Keys: AllKeys, Owner: newInstance("a", 10)}}})
+	before := s.Ownership["s"].Ranges
+	accept(true)
+	left := s.ConfigIndex
+	is.Equal(s.Ownership["s"].Ranges, before)
+	apply(Command{Assignments: []Assignment{{Service: "s", Keys: AllKeys, Owner: newInstance("b", 10), ExpectedToken: before[0].FencingToken}}})
+	is.Equal(s.Ownership["s"].Ranges, before)
+	accept(true, keyed)
+	apply(Command{Withdrawals: []Withdrawal{{Service: "s", ConfigIndex: left}}}) // too late
+	apply(Command{Withdrawals: []Withdrawal{{Service: "s", ConfigIndex: s.ConfigIndex}}})
+	is.Equal(s.Ownership["s"].Ranges, before)
+	accept(true, route.Service{Name: "s"}) // no longer divided by key
+	apply(Command{Withdrawals: []Withdrawal{{Service: "s", ConfigIndex: left}}})
+	is.Equal(s.Ownership["s"].Ranges, before)
+	apply(Command{Withdrawals: []Withdrawal{{Service: "s", ConfigIndex: s.ConfigIndex}}})
+	is.True(s.Ownership["s"] == nil)
+
+	accept(true, keyed)
+	apply(Command{Assignments: []Assignment{{Service: "s", Keys: AllKeys, Owner: newInstance("a", 10)}}})
+	accept(false)
+	is.True(s.Ownership["s"] == nil)
+}
+
 // A compressed configuration has the effect of a plain one, with the operator's text byte for byte, and is a fraction of
 // its size in the log. One that can't be decoded changes nothing.
 func TestPackedConfig(t *testing.T) {
--- a/internal/realm/state.go
+++ b/internal/realm/state.go
@@ -37,12 +37,12 @@
 		return nil // a command of a later release, which all replicas of this release skip
 	}
 	if command.AcceptConfig != nil {
-		s.acceptConfig(command.AcceptConfig)
+		s.acceptConfig(command.AcceptConfig, command.KeepOwners)
 	}
 	if len(command.AcceptPacked) > 0 {
 		// All replicas skip a configuration that can't be decoded, as they do with the whole command above.
 		if accept, err := unpackConfig(command.AcceptPacked); err == nil {
-			s.acceptConfig(accept)
+			s.acceptConfig(accept, command.KeepOwners)
 		}
 	}
 	for _, upstream := range command.Join {
@@ -60,6 +60,7 @@
 		s.forget(instance)
 	}
 	s.renewTokens(command.RenewTokens)
+	s.withdrawAll(command.Withdrawals)
 	result, _ := json.Marshal(Result{Version: s.Version()}) // a struct of one number can't fail to encode
 	return result
 }
@@ -72,24 +73,44 @@
 	return s.Config.Version
 }
 
-func (s *State) acceptConfig(a *AcceptConfig) {
+// acceptConfig puts a configuration in force, unless the one in force has the same or a higher version. Services that are
+// no longer divided by key keep their owners, since the grants of these owners are still in force if a service returns
+// soon. Only a command of an earlier release, which has no Withdrawal, ends the ownership at once.
+func (s *State) acceptConfig(a *AcceptConfig, keepOwners bool) {
 	if s.Config != nil && a.Config.Version <= s.Config.Version {
 		return
 	}
 	config := a.Config
 	s.setConfig(&config, a.Body)
+	for name := range s.Ownership {
+		if !keepOwners && !s.IsKeyed(name) {
+			delete(s.Ownership, name)
+		}
+	}
 }
 
-// setConfig puts a configuration in force; keys of services that are no longer divided by key have no owners.
 func (s *State) setConfig(config *route.Config, body []byte) {
 	s.Config, s.Body, s.ConfigIndex = config, body, s.Index
-	for name := range s.Ownership {
-		if service := config.ServiceNamed(name); service == nil || !service.Keyed {
-			delete(s.Ownership, name)
+}
+
+// withdrawAll ends the ownership of services that have not been divided by key since the decision.
+func (s *State) withdrawAll(withdrawals []Withdrawal) {
+	for _, w := range withdrawals {
+		if w.ConfigIndex == s.ConfigIndex && !s.IsKeyed(w.Service) {
+			delete(s.Ownership, w.Service)
 		}
 	}
 }
 
+// IsKeyed reports whether the configuration in force divides a service by key.
+func (s *State) IsKeyed(name string) bool {
+	if s.Config == nil {
+		return false
+	}
+	service := s.Config.ServiceNamed(name)
+	return service != nil && service.Keyed
+}
+
 // join adds an instance that has announced itself. It replaces an earlier instance under its id, and an earlier
 // instance at its address.
 func (s *State) join(u Upstream) {
@@ -137,11 +158,7 @@
 func (s *State) assignAll(assignments []Assignment) {
 	pending := newReplacements(s)
 	for _, a := range assignments {
-		if s.Config == nil {
-			return
-		}
-		service := s.Config.ServiceNamed(a.Service)
-		if service == nil || !service.Keyed || a.Keys.From > a.Keys.To {
+		if !s.IsKeyed(a.Service) || a.Keys.From > a.Keys.To {
 			continue
 		}
 		ownership := s.Ownership[a.Service]
