Wait for former grants before slots of a returned service are assigned

On the product's own path (entry hosts with dispatchers) a service that left the configuration and returned while one of its upstreams was silent had slots that two upstreams were granted.

The table of such a service is deleted, and the leader took the slots of the new table for slots that never had an owner. An upstream that can be reached is told within milliseconds that it has lost its slots; one that can't be holds them until its grant runs out.

Evidence: TestServiceThatReturns on the code before, with an upstream frozen when the service leaves: slots 127, 152, 177, 252 and more granted to it and to another one, after 0 and 300 ms of absence; none after 3 s, and none without the freeze.

Change: slots of a table in which none has been assigned yet wait for the lease of a host (1.2 s) and 0.1 s, since no grant outlasts the lease of the host that sent it. The first configuration of all does not wait. The replicated state is as it was. A new service in a later configuration is served 1.3 s later than before.

After: TestServiceThatReturns passes in its three cases, as do the tests of internal/ctrl, internal/state, internal/fleet and cmd/lovagelink.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -38,6 +38,7 @@
 	dispatchersBalancedAt time.Time // when the dispatchers were last checked for balance
 	slotsPlannedAt        time.Time // when planSlots last ran; slotsPlannedIndex is the index of the state at that time
 	slotsPlannedIndex     uint64
+	unassignedSince       map[string]time.Time // by service: when none of its slots was first seen to have had an owner
 }
 
 // hostReport holds the contents of a host's latest heartbeat.
@@ -119,6 +120,7 @@
 	c.balancedAt = now
 	c.dispatchersBalancedAt = now
 	c.slotsPlannedAt = time.Time{}
+	c.unassignedSince = make(map[string]time.Time)
 }
 
 // leading reports whether this replica is the leader. At the start of a new tenure it resets the controller, which
--- a/internal/ctrl/slots.go
+++ b/internal/ctrl/slots.go
@@ -16,6 +16,7 @@
 	balanceBudget         = 8                      // most moves per service in each balancePeriod
 	planIntervalChanged   = 100 * time.Millisecond // least time between two plans if the state has changed
 	planIntervalUnchanged = 500 * time.Millisecond // least time between two plans if the state has not changed
+	expiryMargin          = 100 * time.Millisecond // added to the lease of a host before its grants count as expired
 )
 
 // planSlots assigns unowned slots and plans moves of slots. It runs soon after a change of the state, and at longer
@@ -60,8 +61,11 @@
 	for _, name := range sortedKeys(s.Tables) {
 		table := s.Tables[name]
 		owners := ownersOf(table)
-		if service := s.Config.ServiceNamed(name); service != nil && service.Key == nil {
+		service := s.Config.ServiceNamed(name)
+		if service != nil && service.Key == nil {
 			c.clearUndispatchable(s, owners)
+		} else if c.mayHaveFormerOwners(now, s, name) {
+			continue
 		}
 		for _, move := range place.Fill(owners, c.loads.forService(name, len(table.Slots)), c.candidates(now, s, name)) {
 			assignments = append(assignments, state.SlotAssignment{
@@ -72,6 +76,26 @@
 	return assignments
 }
 
+// mayHaveFormerOwners reports whether upstreams may still hold slots of a service that has left the configuration and
+// returned. Its table is new then, but grants under the former one expire only with the leases of the hosts that sent
+// them. No grant can precede the first configuration.
+func (c *Controller) mayHaveFormerOwners(now time.Time, s *state.State, service string) bool {
+	isAssigned := slices.ContainsFunc(s.Tables[service].Slots, func(slot state.Slot) bool { return slot.Epoch > 0 })
+	if isAssigned || s.ConfigVersion <= 1 {
+		return false
+	}
+	since, ok := c.unassignedSince[service]
+	if !ok {
+		c.unassignedSince[service] = now
+		return true
+	}
+	if now.Sub(since) < HostLeaseDuration+expiryMargin {
+		return true
+	}
+	delete(c.unassignedSince, service) // the slots are assigned now
+	return false
+}
+
 // clearUndispatchable clears each entry of owners whose upstream has no dispatcher and can't be given one now.
 func (c *Controller) clearUndispatchable(s *state.State, owners []string) {
 	undispatchable := make(map[string]bool)
