Answer the requests that outlast the stop of an entry host

On the product's own path a request whose upstream took longer than the 15 s that a stop may last was cut with the connection: its caller could not know whether a booking was made.

Stop gave up waiting and closed the servers; nothing told the handlers to answer.

Evidence: TestStopAnswersLongRequests on the code before: no response to a booking with a deadline of 60 s whose upstream responds after a minute.

Change: a second before the time of a stop is over, requests in progress end: those in queues say that they have not run, those that an upstream may be running say that they may have run, with a log line.

After: the test passes; TestResend* and TestFaultyRequests pass as well.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -71,7 +71,7 @@
 		writeError(w, fault)
 		return
 	}
-	h.respond(w, now, p, h.forward(request.Context(), p))
+	h.respond(w, now, p, h.forwardUntilClosing(request.Context(), p))
 }
 
 // respond writes the outcome of a request and records its verdict and latency.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -26,6 +27,9 @@
 // stopTimeout bounds how long a stopping host waits for its roles to move and its requests to end.
 const stopTimeout = 15 * time.Second
 
+// closingTime is how long before the end of stopTimeout the requests in progress are responded to, whatever their state.
+const closingTime = time.Second
+
 // readyPath is the path of the readiness check of the platform's load balancer.
 const readyPath = "/lovagelink/ready"
 
@@ -64,6 +68,8 @@
 	metrics        *metrics
 	tomb           tomb.Tomb
 	leaving        chan struct{}
+	closing        context.Context    // ends when the requests in progress have to be responded to at once
+	endRequests    context.CancelFunc // ends closing
 	startTime      time.Time
 	incarnation    string      // identifies this run of the host
 	dedupRestored  atomic.Bool // dedup holds every record that other hosts share with this host
@@ -92,6 +98,7 @@
 		startTime:     now,
 		incarnation:   newToken(),
 	}
+	h.closing, h.endRequests = context.WithCancel(context.Background())
 	addresses := make(map[string]netip.AddrPort)
 	forwards := make(map[string]netip.AddrPort)
 	for _, other := range settings.Hosts {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -6,8 +6,10 @@
 	"slices"
 	"time"
 
+	"lovagelink.example/lovagelink/internal/disp"
 	"lovagelink.example/lovagelink/internal/pause"
 	"lovagelink.example/lovagelink/internal/state"
+	"lovagelink.example/lovagelink/pkg/verd"
 )
 
 // Stop stops the host gracefully: its roles move to other hosts, requests in progress end, its records of requests are
@@ -15,6 +17,7 @@
 func (h *Host) Stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
+	defer time.AfterFunc(stopTimeout-closingTime, h.endRequests).Stop()
 	h.recordEvent("host-stopping", "", "")
 	close(h.leaving)
 	h.client.TriggerHeartbeat()
@@ -66,6 +69,36 @@
 	return others == 0
 }
 
+// outcomeTime is how long a request has to end by itself once this host closes.
+const outcomeTime = 200 * time.Millisecond
+
+// forwardUntilClosing forwards a request, and ends it once this host closes. A request that has not been sent ends at
+// once; one that an upstream may be running can't be taken back, so that the caller is told that it may have run.
+func (h *Host) forwardUntilClosing(ctx context.Context, p *parsedRequest) disp.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(h.closing, cancel)
+	outcomes := make(chan disp.Outcome, 1)
+	go func() {
+		defer cancel()
+		defer stop()
+		outcomes <- h.forward(ctx, p)
+	}()
+	select {
+	case outcome := <-outcomes:
+		return outcome
+	case <-h.closing.Done():
+	}
+	timer := time.NewTimer(outcomeTime)
+	defer timer.Stop()
+	select {
+	case outcome := <-outcomes:
+		return outcome
+	case <-timer.C:
+	}
+	_ = h.logger.Log("event", "request-ended", "id", p.ID, "service", p.Service, "verdict", verd.MayHaveRun, "reason", "this host is stopping")
+	return disp.Outcome{Verdict: verd.MayHaveRun, Status: http.StatusGatewayTimeout, Reason: "this host is stopping, and the upstream has not responded"}
+}
+
 // Kill stops the host immediately, as a crash would.
 func (h *Host) Kill() {
 	h.tomb.Kill(nil)
