Bound the reply to a grant

On the product's own path a faulty upstream that sent the reply to a grant without end could take all the memory of an entry host, and the requests of all its callers with it.

Cause: the reply was decoded from the connection without a limit; only the timeout of 300 ms ended it, and a decoder keeps a value that has not ended.

Change: at most 64 KiB of a reply are read.

Looked at elsewhere: the platform's grants, check-in and configuration bodies, heads of responses and announcements of upstreams had limits already.

--- a/internal/disp/grant.go
+++ b/internal/disp/grant.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -22,6 +23,7 @@
 	firstContactTimeout = 500 * time.Millisecond // an upstream that has not replied at all for this long is lost
 	clockMargin         = 50 * time.Millisecond  // added to GrantLease before an unresponsive upstream counts as lost
 	reportInterval      = 100 * time.Millisecond // between reports of a lost upstream to the leader
+	maxReplyBytes       = 64 << 10               // of a reply to a grant; a faulty upstream may send one without end
 )
 
 // grantState is the state of the grants to the upstream. Times are by this host's clock.
@@ -204,7 +206,7 @@
 	if response.StatusCode != http.StatusOK {
 		return reply, fmt.Errorf("grant slots: upstream responded with status %d", response.StatusCode)
 	}
-	return reply, json.NewDecoder(response.Body).Decode(&reply)
+	return reply, json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply)
 }
 
 // isLost reports whether the upstream has not replied for so long that all its grants have expired.
