Read few large responses of upstreams at a time

On the product's own path faulty upstreams that send bodies without end could take the memory of an entry host: each response was read up to 16 MiB, for as many requests as were in progress.

Cause: a limit for each response and none for all of them together.

Change: up to 1 MiB of any number of responses is read, and beyond that four responses at a time on a host; others wait for their turn until their deadline.

Looked at elsewhere: entry hosts on the platform hold 256 KiB of a response and pass the rest on as it arrives, as TestBytesWithoutEnd shows.

--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -49,8 +49,14 @@
 	Control       Control
 	Dedup         *DedupTable
 	Stats         *Stats
+
+	// LargeResponses holds an entry for each large response that is being read, and is shared by all dispatchers of a host.
+	LargeResponses chan struct{}
 }
 
+// NewLargeResponses returns the LargeResponses of a host.
+func NewLargeResponses() chan struct{} { return make(chan struct{}, maxLargeResponses) }
+
 // Dispatcher orders and sends all requests of one upstream.
 type Dispatcher struct {
 	Deps
--- a/internal/disp/send.go
+++ b/internal/disp/send.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -124,7 +123,7 @@
 		// A faulty upstream may write the refusal once more, which would then pass for that of the next request.
 		once.Retire(response)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := readBody(request.Context(), response.Body, d.LargeResponses)
 	if err != nil {
 		return d.failedOutcome(err, r, true)
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -121,6 +121,7 @@
 	h.dispatchers = disp.NewSet(h.store, h.incarnation, disp.Deps{
 		Host: settings.Name, Network: network, Lease: h.client, ZoneLease: h.zoneLease, Recorder: recorder{h},
 		HistorySource: h, Offloader: h, Control: h, Dedup: h.dedup, Stats: &h.dispatchStats,
+		LargeResponses: disp.NewLargeResponses(),
 	})
 	h.serveHosts()
 	metrics, err := newMetrics(h)
