Answer the calls that wait when a control host is stopped

Upstreams and the operator whose call waited for the leader when a control host was stopped saw their connection end: a configuration was left without an answer, a check-in without its acknowledgement.

After 0.5 s the server was closed, and handlers that still waited were not told.

Evidence: TestDrainAnswersCallsThatWait failed with the second step of drain taken out, as the code was before: the call got no response.

Change: after 0.5 s the calls in progress are cancelled and have 0.2 s to answer. They say 503, with which callers turn to another host.

After: the test passes.

--- a/internal/cmds/hosts.go
+++ b/internal/cmds/hosts.go
@@ -149,9 +149,6 @@
 // arrive.
 const headerTimeout = 5 * time.Second
 
-// shutdownTimeout is the time that requests in progress have to end when a control host stops.
-const shutdownTimeout = 500 * time.Millisecond
-
 func controlCommand() command {
 	var metricsPort uint
 	return command{
@@ -196,19 +193,15 @@
 		return err
 	}
 	reload(ctx, p.logger, p.settingsPath, host.Reload)
-	server := &http.Server{Handler: platform.NewControl(host, p.logger), ReadHeaderTimeout: headerTimeout}
+	server, endRequests := newDrainable(platform.NewControl(host, p.logger))
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
 	case <-ctx.Done():
 	case err := <-served:
+		endRequests()
 		return err
 	}
 	_ = p.logger.Log("event", "stopping", "reason", "signal")
-	stopCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(stopCtx); !errors.Is(err, context.DeadlineExceeded) {
-		return err
-	}
-	return server.Close()
+	return drain(server, endRequests)
 }
