Hold few bodies whole for callers that don't read chunks

Faulty upstreams that send bodies without end could take all the memory of an entry host on the platform, if callers of HTTP/1.0 asked for them.

Cause: a body of unknown length is held whole for such a caller, up to 4 MiB, and nothing bounded how many are held at a time.

Change: two such bodies are held at a time, and others wait for their turn until their deadline. Callers of HTTP/1.1 get a body as it arrives.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -16,6 +16,7 @@
 const (
 	maxBufferedBody = 256 << 10 // bytes of a response that are buffered before any of it is sent to the caller
 	maxUnframedBody = 4 << 20   // bytes of a body of unknown length for a caller that does not read chunks
+	maxUnframed     = 2         // bodies beyond maxBufferedBody that are held at a time for such callers
 	maxMismatched   = 3         // consecutive mismatched responses after which the attempt fails
 )
 
@@ -60,7 +61,7 @@
 		c.exchange.Reply(response.StatusCode, endToEndHeaders(response.Header), body)
 		return responded
 	}
-	err = stream(c.exchange, response, body)
+	err = f.stream(ctx, c.exchange, response, body)
 	f.release(u, conn, stop(), response, err)
 	if err != nil {
 		_ = f.logger.Log("event", "answer-broken-off", "id", c.info.ID, "upstream", u.registration.ID, "reason", err)
@@ -235,10 +236,10 @@
 }
 
 // stream relays a response that is larger than maxBufferedBody; prefix is the part of the body that has been read.
-func stream(x *http1.Exchange, response *http.Response, prefix []byte) error {
+func (f *Front) stream(ctx context.Context, x *http1.Exchange, response *http.Response, prefix []byte) error {
 	header := endToEndHeaders(response.Header)
 	if response.ContentLength < 0 && !x.Request.ProtoAtLeast(1, 1) {
-		return replyWhole(x, response, header, prefix)
+		return f.replyWhole(ctx, x, response, header, prefix)
 	}
 	if err := x.Begin(response.StatusCode, header, response.ContentLength); err != nil {
 		return err
@@ -252,9 +253,19 @@
 	return x.End()
 }
 
-// replyWhole relays a response of unknown length to a caller that could not tell a truncated body from a complete one.
-func replyWhole(x *http1.Exchange, response *http.Response, header http.Header, prefix []byte) error {
-	rest, more, err := http1.ReadBody(response, maxUnframedBody)
+// replyWhole relays a response of unknown length to a caller that could not tell a truncated body from a complete one. It
+// waits for its turn, since the whole body is held.
+func (f *Front) replyWhole(ctx context.Context, x *http1.Exchange, response *http.Response, header http.Header, prefix []byte) error {
+	var rest []byte
+	var more bool
+	var err error
+	select {
+	case f.unframed <- struct{}{}:
+		defer func() { <-f.unframed }()
+		rest, more, err = http1.ReadBody(response, maxUnframedBody)
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
 	if err == nil && more {
 		err = http1.ErrBodyTooLong
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,6 +43,7 @@
 	endRequests     context.CancelFunc             // ends closing
 	stats           stats
 	meter           atomic.Pointer[meter.Meter]
+	unframed        chan struct{}       // holds an entry for each body that is held whole for its caller
 	leavers         chan realm.Instance // upstreams that have said that they are leaving, to be reported
 
 	mu        sync.Mutex
@@ -68,7 +69,7 @@
 func New(host site.Host, endpoint *peer.Endpoint, codec Codec, logger log.Logger) *Front {
 	f := &Front{
 		site: host, endpoint: endpoint, codec: codec, logger: logger,
-		changed: make(chan struct{}), leavers: make(chan realm.Instance, maxLeavers), upstreams: make(map[realm.Instance]*upstream),
+		changed: make(chan struct{}), leavers: make(chan realm.Instance, maxLeavers), unframed: make(chan struct{}, maxUnframed), upstreams: make(map[realm.Instance]*upstream),
 		pools:  make(map[string]*pool),
 		splits: make(map[string]*route.Split), budgets: make(map[string]*admit.RetryBudget),
 		keyCounts: make(map[string]map[int]int), hostCount: initialHostCount,
