Answer requests that have arrived when a host closes connections

A caller whose request arrived at the moment at which a stopping host closed its idle connection, or which had opened a connection that the host had not accepted yet when it ended, got a reset in place of an answer.

Cause: idle connections were woken by a read deadline in the past, with which a read fails although there is something to read, and the process ended as soon as no request was known to be in progress: connections that had been accepted but not read, or not accepted, did not count.

Change: a connection that is to be closed is read once more for 2 ms. Once a stopping host refuses requests it accepts the connections that were opened before, closes its listener, and ends when no caller can expect a response any more; connections in their last half second, on which only the caller's end is awaited, don't count.

--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -20,7 +20,8 @@
 	respondMargin    = 700 * time.Millisecond
 	exitMargin       = 300 * time.Millisecond
 	idlePollInterval = 100 * time.Millisecond
-	exitPollInterval = 5 * time.Millisecond
+	exitPollInterval = 20 * time.Millisecond
+	acceptedTime     = 20 * time.Millisecond // by then, the connections that were opened before this host stopped to accept are served
 )
 
 // newShutdown returns the decisions of a host that is stopped now.
@@ -40,8 +41,11 @@
 	respondBy := now.Add(grace - respondMargin)
 	f.awaitIdle(ctx, earlier(respondBy, now.Add(rotationTime+lastRequestTime)))
 	f.refusing.Store(true)
-	f.awaitIdle(ctx, respondBy)
-	_, unanswered := f.server.Count()
+	if err := f.server.StopAccepting(time.Now()); err != nil {
+		_ = f.logger.Log("event", "still-accepting", "reason", err)
+	}
+	f.awaitClosed(ctx, respondBy)
+	unanswered := f.server.Unanswered()
 	f.endRequests()
 	exitBy := now.Add(grace - exitMargin)
 	f.awaitAnswers(ctx, exitBy)
@@ -59,16 +63,31 @@
 	return b
 }
 
-// awaitIdle closes idle connections and waits until no request is in progress, at most until the deadline. Requests that
-// wait for an upstream are refused once it could no longer respond in time.
+// awaitIdle closes idle connections and waits until no request is in progress, at most until the deadline.
 func (f *Front) awaitIdle(ctx context.Context, deadline time.Time) {
+	f.await(ctx, deadline, idlePollInterval, func() bool {
+		_, busy := f.server.Count()
+		return busy == 0
+	})
+}
+
+// awaitClosed closes idle connections and waits until no caller expects a response, at most until the deadline. A request
+// that has arrived by then is answered, also if it has not been read yet.
+func (f *Front) awaitClosed(ctx context.Context, deadline time.Time) {
+	pause.For(ctx, acceptedTime)
+	f.await(ctx, deadline, exitPollInterval, func() bool { return f.server.Open() == 0 })
+}
+
+// await closes idle connections until a condition holds, at most until the deadline. Requests that wait for an upstream are
+// refused once it could no longer respond in time.
+func (f *Front) await(ctx context.Context, deadline time.Time, interval time.Duration, isDone func() bool) {
 	for now := time.Now(); now.Before(deadline); now = time.Now() {
 		f.refuseLate(now)
 		f.server.CloseIdle()
-		if _, busy := f.server.Count(); busy == 0 {
+		if isDone() {
 			return
 		}
-		pause.For(ctx, min(idlePollInterval, deadline.Sub(now)))
+		pause.For(ctx, min(interval, deadline.Sub(now)))
 	}
 }
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +27,7 @@
 	lastDone chan struct{} // closed when the newest request that was read has been finished
 	reading  bool          // a request has been read in part
 	closed   bool          // a response announced the end of the connection, or was broken off
+	lingers  bool          // the server waits for the caller to read the last response
 }
 
 func newConn(server *Server, raw net.Conn) *conn {
@@ -156,7 +159,7 @@
 		}
 	}
 	c.mu.Unlock()
-	if _, err := c.reader.Peek(1); err != nil {
+	if _, err := c.reader.Peek(1); err != nil && !c.hasArrived(err) {
 		return nil, io.EOF
 	}
 	c.mu.Lock()
@@ -198,6 +201,19 @@
 	return x, c.raw.SetReadDeadline(time.Time{})
 }
 
+// hasArrived reports whether a request has arrived although waiting for one has ended with an error: reads fail after their
+// deadline even if there is something to read.
+func (c *conn) hasArrived(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || c.isClosed() {
+		return false
+	}
+	if c.raw.SetReadDeadline(time.Now().Add(lastReadTime)) != nil {
+		return false
+	}
+	_, err = c.reader.Peek(1)
+	return err == nil
+}
+
 // allDone returns a channel that is closed when all requests that were read so far have been finished.
 func (c *conn) allDone() <-chan struct{} {
 	c.mu.Lock()
@@ -211,6 +227,13 @@
 	return c.closed
 }
 
+// isOpen reports whether the caller may still expect a response.
+func (c *conn) isOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.lingers
+}
+
 func (c *conn) isBusy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -226,7 +249,7 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 && !c.reading {
+	if c.pending == 0 && !c.reading && !c.lingers {
 		_ = c.raw.SetReadDeadline(time.Unix(1, 0)) // fails only on a connection that has ended, which needs no deadline
 	}
 }
@@ -234,6 +257,9 @@
 // linger gives the caller time to read the response, since closing a connection with unread bytes resets the
 // connection.
 func (c *conn) linger() {
+	c.mu.Lock()
+	c.lingers = true
+	c.mu.Unlock()
 	halfCloser, ok := c.raw.(interface{ CloseWrite() error })
 	if !ok || halfCloser.CloseWrite() != nil {
 		return
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -23,6 +23,8 @@
 	maxPipelined     = 16                     // the most requests of one connection that are in flight at the same time
 	lingerTimeout    = 500 * time.Millisecond // time for the caller to read the last response before a connection reset
 	acceptRetryDelay = 5 * time.Millisecond   // wait after Accept fails, most likely for lack of file descriptors
+	lastReadTime     = 2 * time.Millisecond   // time to read what has arrived on a connection that is to be closed
+	lastAcceptTime   = 10 * time.Millisecond  // time to accept the connections that were opened before the server stops to accept
 	bufferSize       = 4 << 10
 	headerSlack      = bufferSize // bytes of the body that the buffered reader may read together with the head
 )
@@ -38,6 +40,8 @@
 	mu         sync.Mutex
 	draining   bool
 	discarding bool
+	listener   net.Listener // nil before Serve
+	stopped    bool         // no more connections are to be accepted
 	conns      map[*conn]struct{}
 }
 
@@ -48,11 +52,17 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
 	for {
 		raw, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
+		if err != nil && s.hasStoppedAccepting() {
+			return listener.Close()
+		}
 		if err != nil {
 			time.Sleep(acceptRetryDelay)
 			continue
@@ -70,6 +80,24 @@
 	}
 }
 
+// StopAccepting closes the listener, after the connections that have been opened already were accepted. A caller whose
+// connection is refused can turn to another host at once.
+func (s *Server) StopAccepting(now time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	if limited, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return limited.SetDeadline(now.Add(lastAcceptTime))
+	}
+	return nil
+}
+
+func (s *Server) hasStoppedAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
 // Drain makes each connection close after its last pending response.
 func (s *Server) Drain() {
 	s.mu.Lock()
@@ -114,6 +142,16 @@
 	return len(conns), busy
 }
 
+// Open returns the number of connections on which a caller may still expect a response.
+func (s *Server) Open() (count int) {
+	for _, c := range s.connections() {
+		if c.isOpen() {
+			count++
+		}
+	}
+	return count
+}
+
 // Unanswered returns the number of connections on which a request has been read whole and has no complete response yet.
 func (s *Server) Unanswered() (count int) {
 	for _, c := range s.connections() {
