Look only at services without keys for ownership to withdraw

The leader asked for each range of each service, in each plan, whether its grants have expired, only to find that the service still has keys. With hundreds of owners that is work for nothing ten times a second. Seen by reading; TestServiceThatReturnsHasOneOwner passes as before.

--- a/internal/core/manager.go
+++ b/internal/core/manager.go
@@ -213,8 +213,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for service, ownership := range s.Ownership {
-		isGranted := slices.ContainsFunc(ownership.Ranges, func(r realm.Range) bool { return !k.tracker.GrantsExpired(now, r.Owner) })
-		if !s.IsKeyed(service) && !isGranted {
+		if s.IsKeyed(service) {
+			continue
+		}
+		if !slices.ContainsFunc(ownership.Ranges, func(r realm.Range) bool { return !k.tracker.GrantsExpired(now, r.Owner) }) {
 			withdrawals = append(withdrawals, realm.Withdrawal{Service: service, ConfigIndex: s.ConfigIndex})
 		}
 	}
--- a/internal/realm/mirror.go
+++ b/internal/realm/mirror.go
@@ -21,7 +21,7 @@
 	next := s.state
 	next.Index = update.Index
 	if config != nil {
-		next.setConfig(config, nil)
+		next.setConfig(config, nil) // owners stay: the log may keep them, and no update says when it withdraws them
 		if update.ConfigIndex > 0 {
 			next.ConfigIndex = update.ConfigIndex
 		}
