--- a/Makefile
+++ b/Makefile
@@ -50,10 +50,10 @@
 	go test -run '^$$' -bench . -benchtime 1s -timeout 30m ./...
 	go test -count 1 -v -run 'TestUnavailable|TestFailuresInFlood|TestControlBytes' ./internal/fleet
 
-# regress plays what must hold before a landing: the whole score and a hunt of each site of the milestone, one site at a
-# time. SYSTEM is the folder of the users' pages with the site files, BENCH their program. Sites of 60 hosts or more get 8
-# days, others 40.
-SITES := further/kalliosaari-gw:40 further-grown/kalliosaari-gw-grown:8 large/gpho-link-large:8
+# regress plays what must hold before a landing: the whole score and a hunt of each site in force, one site at a time.
+# SYSTEM is the folder of the users' pages with the site files, BENCH their program. Sites of 60 hosts or more get 8 days,
+# others 40.
+SITES := sites/gpho-link:40 sites/kpwsa-rounds:40 grown/gpho-link-grown:8 grown/kpwsa-rounds-grown:8 large/gpho-link-large:8
 JOBS ?= 2
 regress:
 	@test -d "$(SYSTEM)" || { echo "SYSTEM=$(SYSTEM) is no folder; give that of the site files"; exit 2; }
