--- a/internal/fleet/returning_test.go
+++ b/internal/fleet/returning_test.go
@@ -46,9 +46,8 @@
 					}
 					return count
 				}
-				start := time.Now()
 				awaitGranted := func() {
-					for start = time.Now(); granted() < 256; time.Sleep(10 * time.Millisecond) {
+					for start := time.Now(); granted() < 256; time.Sleep(10 * time.Millisecond) {
 						if time.Since(start) > 10*time.Second {
 							t.Fatalf("%d of 256 slots are granted after 10 s", granted())
 						}
--- a/internal/front/stop_test.go
+++ b/internal/front/stop_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"lovagelink.example/lovagelink/internal/calls"
 	"lovagelink.example/lovagelink/internal/realm"
 )
 
@@ -147,7 +148,7 @@
 	now := time.Now()
 	waiting := f.upstreamFor(f.view.Load().Upstream("u0").Upstream)
 	waiting.mu.Lock()
-	waiting.limiter.OnResponse(now, 600*time.Millisecond, leavingInfo().Load, false) // the usual latency
+	waiting.limiter.OnResponse(now, 600*time.Millisecond, calls.Load{}, false) // the usual latency
 	waiting.mu.Unlock()
 	deadline := now.Add(time.Hour)
 	for range 4 { // more than may be in flight
