--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -21,7 +21,6 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) error{
-	"bodies":      bodies,
 	"first-start": firstStart,
 	"returning":   returning,
 	"rolling":     rolling,
