--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -24,7 +24,7 @@
 	"first-start": firstStart,
 	"returning":   returning,
 	"rolling":     rolling,
-	"twice":       twice,
+	"wiped":       wiped,
 }
 
 func main() {
