--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lovagelink.example/lovagelink/internal/reply"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	limited := &limitedReader{raw: raw, limit: -1}
+	limited := &limitedReader{raw: reply.WithResets(raw), limit: -1}
 	return &ClientConn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, bufferSize), lastUsed: now}, nil
 }
 
--- a/internal/once/client.go
+++ b/internal/once/client.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"lovagelink.example/lovagelink/internal/reply"
 )
 
 // Client sends each request at most once. The transport of net/http alone resends requests of some methods, and any
@@ -23,7 +25,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: raw}, nil
+		return &conn{Conn: reply.WithResets(raw)}, nil
 	}
 	return &Client{&http.Client{
 		Transport:     transport,
