--- a/internal/disp/invalid_test.go
+++ b/internal/disp/invalid_test.go
@@ -57,3 +57,18 @@
 		is.True(outcome.Status != http.StatusOK)
 	}
 }
+
+// Guards against bytes that are no response in the protocol taken for one.
+func TestInvalidResponsesAreNotPassedOn(t *testing.T) {
+	for name, response := range map[string]string{
+		"status 000": "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nwrong",
+		"status 600": "HTTP/1.1 600 None\r\nContent-Length: 5\r\n\r\nwrong",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			outcome := exchangeWith(t, 0, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, response) })
+			is.Equal(outcome.Verdict, verd.MayHaveRun)
+			is.Equal(outcome.Status, unknown("").Status)
+		})
+	}
+}
--- a/internal/front/invalid_test.go
+++ b/internal/front/invalid_test.go
@@ -101,3 +101,29 @@
 	is.Equal(status, http.StatusOK)
 	is.Equal(body, "whole")
 }
+
+// Guards against bytes that are no response in the protocol passed on as one: their status is none.
+func TestInvalidResponsesAreNotPassedOn(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r\r\nContent-Length: 5\r\n"
+	for name, response := range map[string]string{
+		"status 000":                       "HTTP/1.1 000 None\r\nSigned: 1\r\nId: r\r\nContent-Length: 5\r\n\r\nwrong",
+		"status 000 without a body":        "HTTP/1.1 000 None\r\nSigned: 1\r\nId: r\r\nContent-Length: 0\r\n\r\n",
+		"status 099":                       "HTTP/1.1 099 None\r\nSigned: 1\r\nId: r\r\nContent-Length: 0\r\n\r\n",
+		"status 600":                       "HTTP/1.1 600 None\r\nSigned: 1\r\nId: r\r\nContent-Length: 5\r\n\r\nwrong",
+		"status 101":                       "HTTP/1.1 101 Switching\r\nSigned: 1\r\nId: r\r\n\r\n" + ok + "\r\nwrong",
+		"version":                          "HTTP/2.0 200 OK\r\nSigned: 1\r\nId: r\r\nContent-Length: 5\r\n\r\nwrong",
+		"status 000 before the final head": "HTTP/1.1 000 None\r\n\r\n" + ok + "\r\nwrong",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := newFaultyUpstream(t, func(_ *faultyUpstream, conn net.Conn, _ string, _ bool) {
+				_, _ = io.WriteString(conn, response)
+			})
+			began := time.Now()
+			status, body := ask(t, &http.Client{}, startFront(t, u)+"/once/x", "r")
+			is.Equal(status, http.StatusBadGateway)
+			is.True(body != "wrong")
+			is.True(time.Since(began) < 900*time.Millisecond) // at once, not at the deadline
+		})
+	}
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -162,8 +162,8 @@
 // upstream may send bytes without end.
 const maxResponseHead = 64 << 10
 
-// Receive reads the head of the next final response, and skips interim (1xx) responses. An upstream that sends more than
-// maxResponseHead bytes before the body is an error.
+// Receive reads the head of the next final response, and skips interim (1xx) responses. An invalid response is an error, and
+// so are more than maxResponseHead bytes before the body.
 func (c *ClientConn) Receive(method string) (*http.Response, error) {
 	c.limited.limit = maxResponseHead
 	defer func() { c.limited.limit = -1 }()
@@ -172,6 +172,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := reply.Check(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= 200 {
 			c.responses++
 			c.recordKeepAlive(response)
--- a/internal/once/client.go
+++ b/internal/once/client.go
@@ -33,8 +33,8 @@
 	}}
 }
 
-// Do sends a request and returns the response, whose body is still to be read. If err is not nil, wasSent reports
-// whether the server may have received any part of the request.
+// Do sends a request and returns the response, whose body is still to be read. An invalid response is an error. If err is
+// not nil, wasSent reports whether the server may have received any part of the request.
 func (c *Client) Do(request *http.Request) (response *http.Response, wasSent bool, err error) {
 	var used connUse
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
@@ -47,6 +47,10 @@
 		return nil, used.end(), err
 	}
 	response.Body = &body{ReadCloser: response.Body, conn: used.conn}
+	if err := reply.Check(response); err != nil {
+		Retire(response)
+		return nil, true, errors.Join(err, response.Body.Close())
+	}
 	return response, true, nil
 }
 
