--- a/internal/disp/invalid_test.go
+++ b/internal/disp/invalid_test.go
@@ -61,8 +61,11 @@
 // Guards against bytes that are no response in the protocol taken for one.
 func TestInvalidResponsesAreNotPassedOn(t *testing.T) {
 	for name, response := range map[string]string{
-		"status 000": "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nwrong",
-		"status 600": "HTTP/1.1 600 None\r\nContent-Length: 5\r\n\r\nwrong",
+		"status 000":              "HTTP/1.1 000 None\r\nContent-Length: 5\r\n\r\nwrong",
+		"status 600":              "HTTP/1.1 600 None\r\nContent-Length: 5\r\n\r\nwrong",
+		"blank in a name":         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX Odd: 1\r\n\r\nwrong",
+		"blank behind the length": "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nwrong and more",
+		"control byte in a name":  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX\x01Odd: 1\r\n\r\nwrong",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/front/invalid_test.go
+++ b/internal/front/invalid_test.go
@@ -102,7 +102,8 @@
 	is.Equal(body, "whole")
 }
 
-// Guards against bytes that are no response in the protocol passed on as one: their status is none.
+// Guards against bytes that are no response in the protocol passed on as one: their status or the name of a header can't
+// stand there.
 func TestInvalidResponsesAreNotPassedOn(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r\r\nContent-Length: 5\r\n"
 	for name, response := range map[string]string{
@@ -112,6 +113,15 @@
 		"status 600":                       "HTTP/1.1 600 None\r\nSigned: 1\r\nId: r\r\nContent-Length: 5\r\n\r\nwrong",
 		"status 101":                       "HTTP/1.1 101 Switching\r\nSigned: 1\r\nId: r\r\n\r\n" + ok + "\r\nwrong",
 		"version":                          "HTTP/2.0 200 OK\r\nSigned: 1\r\nId: r\r\nContent-Length: 5\r\n\r\nwrong",
+		"blank in a name":                  ok + "X Odd: 1\r\n\r\nwrong",
+		"blank behind a name":              ok + "X-Odd : 1\r\n\r\nwrong",
+		"blank behind the length":          "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: r\r\nContent-Length : 5\r\n\r\nwrong and more",
+		"control byte in a name":           ok + "X\x01Odd: 1\r\n\r\nwrong",
+		"tab in a name":                    ok + "X\tOdd: 1\r\n\r\nwrong",
+		"no name":                          ok + ": 1\r\n\r\nwrong",
+		"byte beyond ASCII in a name":      ok + "X-\xc3\xa9: 1\r\n\r\nwrong",
+		"control byte in a value":          ok + "X-Odd: a\x01b\r\n\r\nwrong",
+		"blank in a name of early hints":   "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n" + ok + "\r\nwrong",
 		"status 000 before the final head": "HTTP/1.1 000 None\r\n\r\n" + ok + "\r\nwrong",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -6,12 +6,11 @@
 	"net"
 	"net/http"
 
-	"golang.org/x/net/http/httpguts"
+	"lovagelink.example/lovagelink/internal/reply"
 )
 
 var (
 	errBodyTooLarge = errors.New("the body is over the limit")
-	errBadHeader    = errors.New("a header name or value has characters that may not stand there")
 	errNoHost       = errors.New("the request names no host")
 	errVersion      = errors.New("only HTTP/1.0 and HTTP/1.1 are spoken here")
 )
@@ -24,17 +23,7 @@
 	if request.Host == "" {
 		return errNoHost
 	}
-	for name, values := range request.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return errBadHeader
-		}
-		for _, value := range values {
-			if !httpguts.ValidHeaderFieldValue(value) {
-				return errBadHeader
-			}
-		}
-	}
-	return nil
+	return reply.CheckHeader(request.Header)
 }
 
 // statusOf returns the response status for an error while a request is read, or 0 if the connection has ended and no
