--- a/pkg/paxos/remove.go
+++ b/pkg/paxos/remove.go
@@ -35,18 +35,28 @@
 		return ErrNotLeader
 	}
 	t.checkMembers()
-	for r.hasMember(id) {
+	for r.isCommittedMember(id) {
 		select {
 		case <-ctx.Done():
 			return ErrMemberKept
 		case <-t.tomb.Dead():
-			return ErrNotLeader
+			if r.isCommittedMember(id) {
+				return ErrNotLeader
+			}
 		case <-time.After(removalPollInterval):
 		}
 	}
 	return nil
 }
 
+// isCommittedMember reports whether the removal of a replica from the members is not committed. Before that a leader which
+// removes itself must not stop, since the others may not have the change yet.
+func (r *Replica) isCommittedMember(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.log.membersAt(r.commit).Has(id)
+}
+
 // removalPollInterval is the time between two checks of whether a leaving member has been removed.
 const removalPollInterval = 10 * time.Millisecond
 
