--- a/pkg/paxos/change.go
+++ b/pkg/paxos/change.go
@@ -159,6 +159,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t.joiningID = member.ID
+	delete(t.leaving, member.ID) // it has started again: a replica that is about to stop has no identity
 	return r.startFollower(t, member)
 }
 
--- a/pkg/paxos/leaving_test.go
+++ b/pkg/paxos/leaving_test.go
@@ -183,3 +183,24 @@
 func hasName(members Members, name string) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Name == name })
 }
+
+// A member that restarts gives up its vote and takes it again: it is not removed once more for having stopped before.
+func TestRestartedMemberStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newClusterWith(t, Config{MaxMembers: 5, RemoveAfter: removeAfter}, "a", "b", "c", "d")
+		defer c.stopAll()
+		c.propose("before")
+		name := "a"
+		if c.awaitLeader().name == name {
+			name = "b"
+		}
+		is.NoErr(c.leave(name))
+		c.start(name)
+		c.awaitMemberCount(4)
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			is.Equal(len(c.awaitLeader().Status(time.Now()).Members), 4)
+		}
+	})
+}
