--- a/internal/cmds/hosts.go
+++ b/internal/cmds/hosts.go
@@ -203,6 +203,6 @@
 		return err
 	}
 	_ = p.logger.Log("event", "stopping", "reason", "signal")
-	host.Leave(context.Background(), time.Now())
+	host.Resign(context.Background(), time.Now())
 	return drain(server, endRequests)
 }
--- a/internal/core/announce.go
+++ b/internal/core/announce.go
@@ -59,7 +59,7 @@
 		pause.For(ctx, announceInterval)
 		now := time.Now()
 		leader := h.leaderName(now)
-		if leader == "" || leader == h.name || h.leaves() {
+		if leader == "" || leader == h.name || h.hasResigned() {
 			continue
 		}
 		reply, err := callWithTimeout[announceReply](ctx, h, leader, "announce", announcement{Zone: h.site.Zone})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -59,7 +59,7 @@
 	hostList     hostList
 	reports      Report                     // of entry hosts, to be forwarded to the leader
 	configOrders map[uint64]*configOrder    // by version, while this host leads
-	isLeaving    bool                       // this host is about to stop, and takes no vote
+	resigned     bool                       // this host is about to stop, and takes no vote
 	limits       map[realm.Instance]float64 // reported limits that are not in the log yet, in requests per second
 	loads        map[string]*keyed.Loads
 	serviceTimes *keyed.ServiceTimes
@@ -111,7 +111,7 @@
 
 // Stop gives up the vote of this host, ends all tasks and closes the replica.
 func (h *Host) Stop() {
-	h.Leave(context.Background(), time.Now())
+	h.Resign(context.Background(), time.Now())
 	h.tomb.Kill(nil)
 	_ = h.tomb.Wait()
 	_ = h.currentReplica().replica.Stop()
--- a/internal/core/join.go
+++ b/internal/core/join.go
@@ -54,7 +54,7 @@
 	peers := make(map[string]bool)
 	for h.tomb.Alive() {
 		now := time.Now()
-		if !h.hasLeaderContact(now) && !h.leaves() { // a host that mirrors the state asks for a vote when it announces itself
+		if !h.hasLeaderContact(now) && !h.hasResigned() { // a host that mirrors the state asks for a vote when it announces itself
 			for _, name := range h.seedNames() {
 				peers[name] = true
 			}
--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -76,7 +76,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.isLeaving {
+	if h.resigned {
 		replica.Retire()
 	}
 	h.replicaStore = &replicaStore{replica: replica, store: store}
--- a/internal/core/resign.go
+++ b/internal/core/resign.go
@@ -8,12 +8,12 @@
 	"lovagelink.example/lovagelink/pkg/paxos"
 )
 
-// leaveTimeout bounds the attempt to give up a vote. It is longer than an election, since the leader may stop at the same
+// resignTimeout bounds the attempt to give up a vote. It is longer than an election, since the leader may stop at the same
 // time, and shorter than the time that a process has to stop.
-const leaveTimeout = 3 * time.Second
+const resignTimeout = 3 * time.Second
 
-// leaveWait is how long the leader waits for the removal of a host that stops, which may need another one in its place.
-func (h *Host) leaveWait() time.Duration { return h.removeAfter() / 2 }
+// resignWait is how long the leader waits for the removal of a host that stops, which may need another one in its place.
+func (h *Host) resignWait() time.Duration { return h.removeAfter() / 2 }
 
 // resignation asks the leader for the removal of a replica, whose host is about to stop, from the members of the log.
 type resignation struct {
@@ -27,13 +27,13 @@
 	KeepsVote bool   `json:"keeps-vote,omitempty"` // the log can't do without this member
 }
 
-// Leave gives up the vote of this host, which is about to stop. Otherwise it would keep the vote until the others notice, and
+// Resign gives up the vote of this host, which is about to stop. Otherwise it would keep the vote until the others notice, and
 // the loss of another host could take the majority meanwhile. Where the log needs as many members as it has, another host
 // takes its place, or this one keeps its vote. From then on this host asks for no vote. Later calls do nothing.
-func (h *Host) Leave(ctx context.Context, now time.Time) {
+func (h *Host) Resign(ctx context.Context, now time.Time) {
 	h.mu.Lock()
-	isRepeated := h.isLeaving
-	h.isLeaving = true
+	isRepeated := h.resigned
+	h.resigned = true
 	h.mu.Unlock()
 	if isRepeated {
 		return
@@ -49,7 +49,7 @@
 		_ = h.logger.Log("event", "vote-kept", "members", len(members), "reason", "the log needs all of its members, and no other host can take the place of this one")
 		return
 	}
-	reply, err := askLeader(ctx, h, "resign", leaderTimes{call: h.leaveWait() + callTimeout, all: leaveTimeout}, resignation{ID: id},
+	reply, err := askLeader(ctx, h, "resign", leaderTimes{call: h.resignWait() + callTimeout, all: resignTimeout}, resignation{ID: id},
 		func(r resignReply) (bool, string) { return r.OK, r.Leader })
 	switch {
 	case err != nil:
@@ -70,7 +70,7 @@
 	h.mu.Lock()
 	delete(h.joinRequests, from)
 	h.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, h.leaveWait())
+	ctx, cancel := context.WithTimeout(ctx, h.resignWait())
 	defer cancel()
 	err := h.currentReplica().replica.RemoveLeaving(ctx, now, args.ID)
 	if errors.Is(err, paxos.ErrMemberKept) {
@@ -79,9 +79,9 @@
 	return resignReply{OK: err == nil}, err
 }
 
-// leaves reports whether this host is about to stop.
-func (h *Host) leaves() bool {
+// hasResigned reports whether this host is about to stop.
+func (h *Host) hasResigned() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.isLeaving
+	return h.resigned
 }
